Watch discovery on sockets also where the settings say pushed

The router asks for the list only where the settings say on_request. So the proxy held the list of its start for good: it sent to databases that were gone, and would never hear of successors.

--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -101,6 +101,9 @@
 	if s.ConnectTimeout <= 0 {
 		s.ConnectTimeout = defaultConnectTimeout
 	}
+	// "pushed" is how the simulator hands changes over. On sockets the agent tells only who asks, whatever the settings
+	// say: without a watch the list of the start would be held for good.
+	s.Config.Pull = true
 	p := &proxy{clock: state.NewClock()}
 	databases := &net.Databases{ConnectTimeout: s.ConnectTimeout}
 	var err error
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -167,6 +167,36 @@
 	}
 }
 
+// Discovery tells only who asks. Where the settings name it "pushed", as the simulator has it, the proxy never asked
+// and held the list of its start for good.
+func TestListIsWatchedWhereTheSettingsSayPushed(t *testing.T) {
+	address, calls := discovery(t)
+	text := strings.Replace(fmt.Sprintf(config, 1024, "127.0.0.1:9"), "127.0.0.1:1", address, 1)
+	cfg, err := settings.ParseConfig([]byte(strings.Replace(text, `"tick"`, `"discovery": "pushed", "tick"`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() { p.loop.Run(); close(ended) }()
+	select {
+	case got := <-calls:
+		if want := "/v1/endpoints?after=1&wait_ms=50"; got != want {
+			t.Errorf("discovery got %s, want %s", got, want)
+		}
+	case <-time.After(20 * time.Second): // only there to end a test that hangs
+		t.Error("discovery was never asked")
+	}
+	p.loop.Post(func() {
+		p.server.Drain()
+		p.loop.Stop()
+	})
+	<-ended
+}
+
 // SIGHUP used to end the proxy. It moves discovery to the address that the file names now, at once and with the
 // whole list; requests in hand go on. A file that can't be used is told in one line and changes nothing.
 func TestHangUpMovesDiscoveryAndKeepsRequests(t *testing.T) {
