Tell a full database connection table as never sent, and size it to the clients'

The router was told that the member could not be connected to whenever this proxy's own table of connections was full. A full table is now told as never sent (moot), for attempts and probes, and databases get two fifths of the descriptors instead of a quarter: clients hold a third of them for requests at most, and each request under way needs a connection. The table's state was in no log. It is counted (no_room) and told once in ten seconds now, and 'database silent' names how the probe ended.

--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -19,7 +19,9 @@
 	// Descriptors: some for the process itself, the rest for both sides.
 	spareSockets = 24
 	excessPart   = 16 // one in so many is for clients that are turned away with an answer
-	linkPart     = 4  // and one in four is for databases: a few dozen serve hundreds of clients
+	// Databases: each request under way holds a connection to one, and clients hold up to a third of the descriptors
+	// for requests. What is over that is for probes, which have a connection to each database.
+	linkShare = 0.4
 
 	bufferPart  = 8        // one in so many bytes is for what clients have sent of their queries; netpoll may hold as much
 	mostBuffers = 32 << 20 // where there is room for more, too
@@ -85,15 +87,20 @@
 	killAt   time.Duration
 }
 
+// share divides the descriptors between clients, databases, and clients that are turned away.
+func share(sockets int) (clients, links, excess int) {
+	sockets -= spareSockets
+	links, excess = int(linkShare*float64(sockets)), sockets/excessPart
+	return sockets - links - excess, links, excess
+}
+
 // start puts the parts together and begins to listen; nothing runs before the loop does.
 func start(cfg settings.Config) (*proxy, error) {
 	sockets := cfg.Sockets
 	if sockets <= 0 {
 		sockets = defaultSockets
 	}
-	sockets -= spareSockets
-	links, excess := sockets/linkPart, sockets/excessPart
-	clients := sockets - links - excess
+	clients, links, excess := share(sockets)
 	if clients <= 0 || links <= 0 {
 		return nil, fmt.Errorf("configuration: limits.sockets: %d are too few", cfg.Sockets)
 	}
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -107,6 +107,17 @@
 	}
 }
 
+// Clients hold up to a third of the descriptors for requests, and each of those holds a connection to a database. With a
+// quarter for databases, a crowd found no connection while clients' places stood empty.
+func TestDescriptorsServeAsManyRequestsAsClientsMayHave(t *testing.T) {
+	for _, sockets := range []int{256, 384, 1024} {
+		clients, links, excess := share(sockets)
+		if requests := sockets / 3; links <= requests || clients <= requests || clients+links+excess+spareSockets > sockets {
+			t.Errorf("of %d descriptors: %d for clients, %d for databases, %d for excess", sockets, clients, links, excess)
+		}
+	}
+}
+
 func TestBadConfigurationIsOneLine(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
 	for want, text := range map[string]string{"EDGE_CONFIG": "", "no such file": "missing", "not usable JSON": "{"} {
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -83,6 +83,7 @@
 	names       map[string]*member
 	members     map[logic.MemberID]*member
 	links       int
+	fullAt      time.Duration // when it was last told that there is no room for another
 	listFailing bool
 }
 
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -14,6 +15,9 @@
 // that crosses the close would end as a reset.
 const idlePart = 0.9
 
+// tellFull is how often it is logged that there is no room for another connection, at most.
+const tellFull = 10 * time.Second
+
 // Opener opens connections to databases. It returns at once; the listener's methods are called later.
 type Opener interface {
 	Open(address string, to Listener) Conn
@@ -93,8 +97,8 @@
 		return
 	}
 	l := f.open(m)
-	if l == nil {
-		f.drop(a, Reply{Result: logic.ConnectFailed})
+	if l == nil { // this proxy's want, which tells nothing of the member
+		f.drop(a, Reply{Result: logic.Moot})
 		return
 	}
 	l.attempt, a.link = a, l
@@ -105,6 +109,11 @@
 // open starts a connection, if need be in the place of one that is idle elsewhere.
 func (f *Front) open(m *member) *link {
 	if f.links+f.opener.GivenUp() >= f.cfg.MaxLinks && !f.makeRoom() {
+		f.Counters.NoRoom++
+		if now := f.clock.Now(); f.fullAt == 0 || now-f.fullAt >= tellFull {
+			f.fullAt = now
+			slog.Warn("no room for another database connection", "open", f.links, "given_up", f.opener.GivenUp())
+		}
 		return nil
 	}
 	f.links++
@@ -275,7 +284,7 @@
 func (f *Front) Probe(to logic.MemberID) {
 	m := f.members[to]
 	if m == nil || m.probe != nil && m.probe.state != linkIdle {
-		f.tell(func() { f.router.Probed(f.clock.Now(), logic.Probed{Member: to, Result: logic.Moot}) })
+		f.notProbed(to)
 		return
 	}
 	f.Counters.Probes++
@@ -288,12 +297,17 @@
 	}
 	l := f.open(m)
 	if l == nil {
-		f.probed(m, Reply{Result: logic.ConnectFailed}, 0)
+		f.notProbed(to)
 		return
 	}
 	l.probing, m.probe = true, l
 }
 
+// notProbed tells that no probe went out; that says nothing of the member.
+func (f *Front) notProbed(to logic.MemberID) {
+	f.tell(func() { f.router.Probed(f.clock.Now(), logic.Probed{Member: to, Result: logic.Moot}) })
+}
+
 func (f *Front) ask(l *link) {
 	l.state, l.asked = linkBusy, f.clock.Now()
 	f.Deadlines.Set(&l.Deadline, l.asked+probeTimeout, func() { l.fail(Reply{Result: logic.TimedOut}) })
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -142,7 +142,7 @@
 	}
 	switch silent := r.Result == logic.TimedOut || r.Result == logic.ConnectFailed || r.Result == logic.Reset; {
 	case silent && !m.silent:
-		slog.Warn("database silent", "name", m.name, "address", m.address)
+		slog.Warn("database silent", "name", m.name, "address", m.address, "probe", silences[r.Result])
 		m.silent = true
 	case !silent && m.silent:
 		slog.Info("database answers again", "name", m.name, "address", m.address)
@@ -150,6 +150,10 @@
 	}
 }
 
+// silences names what a probe that got no answer ended with.
+var silences = map[logic.Result]string{logic.TimedOut: "timed out", logic.ConnectFailed: "could not connect",
+	logic.Reset: "connection lost"}
+
 var roleNames = [...]string{logic.RoleUnknown: "unknown", logic.RolePrimary: "primary", logic.RoleReplica: "replica"}
 
 func stateName(s logic.MemberState) string {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -873,6 +873,7 @@
 		r.learn(m, p.Report.Role, p.Report.Position, cmp.Or(p.Report.Position, now), now)
 	case Full, Miss, Failed:
 		r.heard(m, now)
+	case Moot: // it never went out
 	default:
 		if m.heardAt <= m.probedAt {
 			r.lost(m, now)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -238,6 +238,23 @@
 	}
 }
 
+// A ping that never went out, for the proxy had no room for its connection, says nothing of its member.
+func TestPingThatNeverWentOutIsNoSilence(t *testing.T) {
+	f := settled(t, testConfig(), 3)
+	f.probes = nil
+	for len(f.probes) == 0 { // until pings are due
+		f.now += 10 * ms
+		f.r.Timer(f.now, tickTimer)
+	}
+	for _, m := range f.probes {
+		f.r.Probed(f.now, Probed{Member: m, Result: Moot})
+	}
+	f.serve(f.request(clsAny, 0), 0)
+	if s := f.serve(f.request(clsUnsafe, 1), 0); s.to != 1 {
+		t.Errorf("the write went to %d, want the primary", s.to)
+	}
+}
+
 func TestSilentPrimaryRefusesWrites(t *testing.T) {
 	f := settled(t, testConfig(), 3)
 	f.pass(1500*ms, 1)
