Set netpoll's runner once: tests raced its pollers by setting it anew

netpoll keeps one runner for all connections and reads it from its pollers. It is set once now and posts to the newest loop. A running proxy makes one loop and is not changed by this.

--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -24,10 +25,20 @@
 	stop  bool
 }
 
+// netpoll has one runner for all its connections and reads it from its pollers, so it is set once, before there are
+// any; the loop that it posts to is the newest.
+var (
+	setRunner sync.Once
+	newest    atomic.Pointer[Loop]
+)
+
 // NewLoop makes a loop and lets netpoll run its callbacks there.
 func NewLoop(clock state.Clock, deadlines *state.Deadlines) *Loop {
 	l := &Loop{clock: clock, deadlines: deadlines, wake: make(chan struct{}, 1)}
-	netpoll.SetRunner(func(_ context.Context, f func()) { l.Post(f) })
+	newest.Store(l)
+	setRunner.Do(func() {
+		netpoll.SetRunner(func(_ context.Context, f func()) { newest.Load().Post(f) })
+	})
 	return l
 }
 
