Ask a probe again on a new connection when its kept one has ended

A probe sent on a kept connection that the database has ended in the meantime comes back as a reset. It was told to the router as the member's silence: the member got nothing new until it was heard again.

Ruled out: a crash (the list names two leavers only, by release), silence (the reset is immediate), a full table (no_room 0).

--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -79,6 +79,7 @@
 	conn    Conn
 	state   linkState
 	probing bool          // it is the one for probes
+	kept    bool          // its probe in hand is not its first
 	asked   time.Duration // when the probe was written
 	attempt *attempt
 }
@@ -241,11 +242,17 @@
 }
 
 // Down implements Listener. Whether the last byte was written tells a request that never ran from one that may
-// have.
+// have. A kept connection may have ended before its probe, which then tells nothing of the member: it is asked again on
+// a new one.
 func (l *link) Down() {
 	if l.state == linkClosed {
 		return
 	}
+	if l.kept && l.state == linkBusy && l.m.state == logic.Ready {
+		l.f.close(l)
+		l.f.openProbe(l.m)
+		return
+	}
 	r := Reply{Result: logic.Reset}
 	if l.state == linkOpening {
 		r.Result = logic.ConnectFailed
@@ -292,12 +299,18 @@
 		f.close(m.probe)
 	}
 	if m.probe != nil {
+		m.probe.kept = true
 		f.ask(m.probe)
 		return
 	}
+	f.openProbe(m)
+}
+
+// openProbe opens the connection for probes, which begins with one.
+func (f *Front) openProbe(m *member) {
 	l := f.open(m)
 	if l == nil {
-		f.notProbed(to)
+		f.notProbed(m.id)
 		return
 	}
 	l.probing, m.probe = true, l
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -397,6 +397,27 @@
 	}
 }
 
+// A database may end a connection that rests at any time, and the next probe on it crosses the end. That silenced members
+// that were well. On a new connection a break counts.
+func TestProbeThatCrossesTheEndOfItsConnectionIsAskedAgain(t *testing.T) {
+	b := newBench(t, 9)
+	b.f.Probe(b.id("one"))
+	b.conns[0].to.Up()
+	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	b.told = nil
+	b.f.Probe(b.id("one"))
+	b.conns[0].to.Down()
+	if b.want(); len(b.conns) != 2 || !b.conns[0].closed || b.f.names["one"].silent {
+		t.Fatalf("%d connections, the first closed: %v, taken for silent: %v", len(b.conns), b.conns[0].closed, b.f.names["one"].silent)
+	}
+	b.conns[1].to.Up()
+	if b.conns[1].probes != 1 {
+		t.Errorf("%d probes on the new connection", b.conns[1].probes)
+	}
+	b.conns[1].to.Down()
+	b.want(fmt.Sprintf("probed %d", logic.Reset))
+}
+
 // One that comes back keeps its id: the router may still hold what it knows of it.
 func TestAMemberThatReturnsIsKnownByTheSameID(t *testing.T) {
 	b := newBench(t, 9)
