Serve clients on held connections after SIGTERM until shortly before the end

At 0.5 s after SIGTERM the proxy closed every idle client connection and ended 0.1 s later, though it has the longest deadline plus 0.7 s. A client that held a connection could have gone on using it; where this proxy is the only one it then found nobody until the successor ran. Idle connections are now closed 0.3 s before the proxy's end, and what is taken after SIGTERM is due 0.1 s before it, so that every answer still comes.

--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -224,10 +224,13 @@
 	c.hangUp()
 }
 
-// Drain ends the listener; clients are closed as soon as they are owed nothing.
+// EndListening takes no further clients; those that are connected are served as before.
+func (s *Server) EndListening() { s.listener.end() }
+
+// Drain ends the listener too; clients are closed as soon as they are owed nothing.
 func (s *Server) Drain() {
 	s.draining = true
-	s.listener.end()
+	s.EndListening()
 }
 
 // Drained closes the clients that are owed nothing and tells whether none is left. What netpoll has read and
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -32,6 +32,10 @@
 	// SIGKILL comes 0.7 s behind the longest deadline, which counts as 3 s where it is longer.
 	longestPatience = 3 * time.Second
 	stopMargin      = 400 * time.Millisecond
+	// Until shortly before the end, clients are served on the connections that they hold: where this proxy is the only
+	// one, they have no other, and those that are closed early find nobody until its successor runs.
+	closeBefore = 300 * time.Millisecond
+	lastAnswers = 100 * time.Millisecond // the last answers are due so long before the end
 
 	defaultSockets        = 1024
 	defaultConnectTimeout = 250 * time.Millisecond
@@ -165,8 +169,8 @@
 	})
 }
 
-// stop ends the proxy in good order: it goes on as before while clients still come, then closes what is idle
-// and ends with its last answer.
+// stop ends the proxy in good order: it goes on as before while clients still come, serves those that it has for as
+// long as their answers can come in time, then closes what is idle and ends with its last answer.
 func (p *proxy) stop() {
 	if p.stopping {
 		return
@@ -175,12 +179,18 @@
 	slog.Info("stopping", "pending", p.front.Pending())
 	now := p.clock.Now()
 	p.killAt = now + p.patience + stopMargin
+	p.front.End(p.killAt - lastAnswers)
 	p.front.Deadlines.Set(&p.timer, now+lastClients, func() {
-		p.server.Drain()
-		p.front.Deadlines.Set(&p.timer, p.clock.Now()+drainStep, p.drained) // connections just accepted show up until then
+		p.server.EndListening()
+		p.front.Deadlines.Set(&p.timer, p.killAt-closeBefore, p.drain)
 	})
 }
 
+func (p *proxy) drain() {
+	p.server.Drain()
+	p.front.Deadlines.Set(&p.timer, p.clock.Now()+drainStep, p.drained)
+}
+
 func (p *proxy) drained() {
 	now := p.clock.Now()
 	if p.server.Drained() && p.front.Pending() == 0 || now >= p.killAt {
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -62,14 +62,15 @@
 	return ln.Addr().String()
 }
 
-// After the signal the proxy goes on taking clients for a while, answers all that it has taken, closes idle
-// clients, and ends by itself.
+// After the signal the proxy goes on taking clients for a while, serves those that it has, answers all that it has
+// taken, closes idle clients, and ends by itself.
 func TestStopAnswersWhatIsTaken(t *testing.T) {
 	asked, answer := make(chan struct{}), make(chan struct{})
 	p, err := startAt(t, slowDatabase(t, asked, answer), 1024)
 	if err != nil {
 		t.Fatal(err)
 	}
+	p.patience = time.Hour // it need not hurry
 	ended := make(chan struct{})
 	go func() { p.loop.Run(); close(ended) }()
 	open := func() net.Conn {
@@ -88,13 +89,32 @@
 	busy.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"),
 		"SELECT val FROM state WHERE uid = 'a' /* id=1,c=any,d=15000,cluster=0 */"))
 	<-asked
-	p.loop.Post(p.stop)
+	p.loop.Post(func() {
+		p.stop()
+		p.front.Deadlines.Clear(&p.timer) // the test tells when the next steps come
+	})
 	late := open()
 	late.Write(hello)
 	want := append(pg.AppendWelcome(nil), ready...)
-	for name, conn := range map[string]net.Conn{"idle": idle, "late": late} {
-		if got, err := io.ReadAll(conn); err != nil || !bytes.Equal(got, want) {
-			t.Errorf("the %s client got %q, error %v", name, got, err)
+	clients := map[string]net.Conn{"idle": idle, "late": late}
+	expect := func(want []byte) {
+		for name, conn := range clients {
+			got := make([]byte, len(want))
+			if _, err := io.ReadFull(conn, got); err != nil || !bytes.Equal(got, want) {
+				t.Errorf("the %s client got %q, error %v", name, got, err)
+			}
+		}
+	}
+	expect(want)
+	p.loop.Post(p.server.EndListening)
+	for _, conn := range clients {
+		conn.Write(pg.AppendQuery(nil, "")) // a client uses the connection that it holds while that is open
+	}
+	expect(ready)
+	p.loop.Post(p.drain)
+	for name, conn := range clients {
+		if got, err := io.ReadAll(conn); err != nil || len(got) > 0 {
+			t.Errorf("the %s client got %q before its end, error %v", name, got, err)
 		}
 	}
 	close(answer) // the idle ones are closed, this one still waits
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -75,6 +75,7 @@
 	queue []func() // events, for the router gets them one at a time
 	busy  bool
 
+	endAt    time.Duration // every request has its answer by then; 0 = no end is in sight
 	lastID   logic.RequestID
 	requests map[logic.RequestID]*request
 	named    map[string]struct{} // the names of open requests
@@ -149,6 +150,19 @@
 // Links tells how many connections to databases are counted as open.
 func (f *Front) Links() int { return f.links }
 
+// End tells that the proxy ends at a time: what is taken from now on has its answer before that, however long its
+// client would wait.
+func (f *Front) End(at time.Duration) { f.endAt = at }
+
+// deadline tells by when a client that waits so long must have its answer.
+func (f *Front) deadline(wait time.Duration) time.Duration {
+	at := f.clock.Now() + max(wait-wayHome, 0)
+	if f.endAt > 0 {
+		at = min(at, f.endAt)
+	}
+	return at
+}
+
 // Take takes in a client's request. The error tells of a request that this deployment doesn't have; then there
 // will be no answer.
 func (f *Front) Take(in Request) (logic.RequestID, error) {
@@ -168,7 +182,7 @@
 	q := &request{id: f.lastID, name: in.Name, class: class, cmd: in.Command, caller: in.Caller}
 	f.requests[q.id] = q
 	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group),
-		Deadline: f.clock.Now() + max(in.Wait-wayHome, 0), Retry: in.Retry}
+		Deadline: f.deadline(in.Wait), Retry: in.Retry}
 	switch f.cfg.Logic.Classes[class].Read { // elsewhere the key names no session
 	case logic.Session:
 		out.Session, out.TokenAge = logic.SessionID(in.Session), tokenAge(f.clock, in.After)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -478,6 +478,19 @@
 	}
 }
 
+// A proxy that ends gives its last answers before that, also to clients that would wait longer.
+func TestWhatIsTakenBeforeTheEndIsDueBeforeIt(t *testing.T) {
+	b := newBench(t, 9)
+	b.f.End(b.now + 100*time.Millisecond)
+	for wait, want := range map[time.Duration]time.Duration{50 * time.Millisecond: 45 * time.Millisecond,
+		time.Second: 100 * time.Millisecond} {
+		b.f.Take(Request{Class: "any", Wait: wait, Command: command{}, Caller: &caller{}})
+		if got := b.req.Deadline - b.now; got != want {
+			t.Errorf("a client that waits %v is due in %v, want %v", wait, got, want)
+		}
+	}
+}
+
 func TestDeadlinesRunInOrderAndMove(t *testing.T) {
 	var q Deadlines
 	var ran []int
