--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,8 +2,8 @@
 //
 // It follows "Driver Read Preferences": a request's class gives its read mode, the group's members are
 // filtered by role and known log position, one of those at most 15 ms slower than the quickest ping is picked
-// at random, and a session's reads stay pinned. Guards around that path act only when something fails; each tells
-// when at its place. The interface is in api.go, what a router keeps is in state.go.
+// at random, and a session's reads stay pinned. Guards around that path act only when something fails; each
+// tells when at its place. The interface is in api.go, what a router keeps is in state.go.
 package logic
 
 import (
