--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -85,9 +85,11 @@
 		conn, err := netpoll.DialConnection("tcp", address, timeout)
 		if err == nil {
 			conn.SetWriteTimeout(writePatience)
-			// As much room as the largest query takes: a database that doesn't read must not stop the loop.
+			// As much room as the largest query takes: a database that doesn't read must not stop the loop. Likewise for
+			// what comes in: netpoll reads ahead of the loop, which is to see early that an answer never ends.
 			if c, ok := conn.(netpoll.Conn); ok {
 				syscall.SetsockoptInt(c.Fd(), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
+				syscall.SetsockoptInt(c.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
 			}
 		}
 		loop.Post(func() { then(conn, err) })
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
+
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/discovery"
 	"havenproxy/internal/wire/pg"
@@ -512,6 +514,31 @@
 }
 
 // A proxy that stops must not leave behind what it has read but not looked at.
+// netpoll reads what a database sends ahead of the loop. Of an answer that never ends it read megabytes before the loop
+// could close the connection.
+func TestWhatADatabaseSendsAheadIsBounded(t *testing.T) {
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var deadlines state.Deadlines
+	loop := NewLoop(state.NewClock(), &deadlines)
+	connect(loop, ln.Addr().String(), patience, func(conn netpoll.Connection, err error) {
+		defer loop.Stop()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		got, err := syscall.GetsockoptInt(conn.(netpoll.Conn).Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF)
+		if err != nil || got != 2*receiveBuffer { // the kernel doubles what is asked for; unasked it lets the room grow
+			t.Errorf("room for %d bytes, error %v; want %d for good", got, err, 2*receiveBuffer)
+		}
+	})
+	loop.Run()
+}
+
 func TestDrainWaitsForWhatHasBeenReadOnly(t *testing.T) {
 	s, _, loop := proxy(t, member(t, echo), 8, 1)
 	p := dial(t, s)
