End the signal goroutine with the proxy: an ended one answered the next run's SIGHUP

signal.Notify was never undone, so in tests an ended proxy's goroutine still took SIGHUP, read its own removed file and logged "can't reload" before the running one had seen the signal. In service a process holds one proxy and is not changed by this.

--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -66,6 +66,8 @@
 	go p.signals(caught, path)
 	p.loop.Run()
 	slog.Info("stopped", "unanswered", p.front.Pending(), "counters", &p.front.Counters)
+	signal.Stop(caught)
+	close(caught) // ends the goroutine above
 	return nil
 }
 
