--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,17 @@
 MAX_LINES = 950
 MAX_WIDTH = 110
 
-.PHONY: build test lint size check run
+.PHONY: build linked test lint size check run
 
+# The standing test loads a library into the proxy, which takes one that is linked against the C library at its start.
 build:
 	mkdir -p bin
-	go build -o bin/ ./cmd/...
+	CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
+
+linked: build
+	@readelf -lW bin/havenproxy | grep -q INTERP && readelf -dW bin/havenproxy | grep -q 'NEEDED.*libc\.so' || \
+	{ echo "bin/havenproxy is not linked dynamically against the C library"; exit 1; }; \
+	echo "bin/havenproxy: linked dynamically against the C library"
 
 test:
 	go test -count=1 -timeout 100s ./...
@@ -25,7 +31,7 @@
 	@long=$$(awk 'length($$0) > $(MAX_WIDTH) { print FILENAME ":" FNR }' $(POLICY)); \
 	[ -z "$$long" ] || { echo "lines over $(MAX_WIDTH) characters: $$long"; exit 1; }
 
-check: lint build test size
+check: lint build linked test size
 
 # One proxy, as the configuration says: make run EDGE_CONFIG=deploy/example.json
 run: build
