--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -114,9 +114,9 @@
 	if s.ConnectTimeout <= 0 {
 		s.ConnectTimeout = defaultConnectTimeout
 	}
-	// "pushed" is how the simulator hands changes over. On sockets the agent tells only who asks, whatever the settings
-	// say: without a watch the list of the start would be held for good.
-	s.Config.Pull = true
+	// "pushed" is how the simulator hands changes over. On sockets the agent that they are pushed to tells only who asks:
+	// without a watch the list of the start would be held for good.
+	s.Config.Agent, s.Config.Pull = !s.Config.Pull, true
 	p := &proxy{clock: state.NewClock()}
 	databases := &net.Databases{ConnectTimeout: s.ConnectTimeout}
 	var err error
@@ -138,7 +138,7 @@
 	if err := p.server.Listen(cfg.Listen); err != nil {
 		return nil, err
 	}
-	p.discovery = net.NewDiscovery(p.loop, p.clock, p.front, cfg.Discovery, cfg.Known.Generation)
+	p.discovery = net.NewDiscovery(p.loop, p.clock, p.front, cfg.Discovery, cfg.Known.Generation, s.Config.Agent)
 	p.loop.Post(func() { p.front.Start(p.discovery, net.ListOf(cfg.Known)) })
 	return p, nil
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -112,6 +112,7 @@
 
 	Tick     time.Duration // the front hands over events no more often than this
 	Pull     bool          // the member list comes only when asked for (Watch, Fetch)
+	Agent    bool          // who is asked holds it ready on this machine, at no cost to others
 	ListRole ListRole
 	Carried  bool // requests carry their session's token; otherwise the router remembers commits
 	Checks   Checks
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -67,11 +67,15 @@
 	hintNoPrimary = 500 * time.Millisecond // a hand-over takes seconds
 	hintCrowded   = 150 * time.Millisecond // a crowd eases in a few service times
 
-	listRoleAge  = 5 * time.Second        // a list's role is seconds old
-	askAgainMin  = 500 * time.Millisecond // list calls that fail are spaced out
-	askAgainMax  = 4 * time.Second
-	forgetSilent = 30 * time.Second // that a silent member is kept where a list doesn't bind
-	callPatient  = 5 * time.Second  // a call without any reply is taken for failed
+	listRoleAge = 5 * time.Second // a list's role is seconds old
+	// List calls that fail are spaced out. The pause and what else passes between a silent watch and the next
+	// call's answer stay inside six seconds; at an agent's, inside the half second that a drain grants.
+	askAgainMin   = 250 * time.Millisecond
+	askAgainMax   = 750 * time.Millisecond
+	agentAgainMin = 20 * time.Millisecond
+	agentAgainMax = 100 * time.Millisecond
+	forgetSilent  = 30 * time.Second // that a silent member is kept where a list doesn't bind
+	callPatient   = 5 * time.Second  // a call without any reply is taken for failed
 
 	fallPart    = 0.5     // of the multiple of its capacity that a cold member may be sent
 	workWeight  = 0.005   // the mix of work, over the last hundreds of requests
@@ -920,6 +924,10 @@
 	}
 	r.callAt = 0
 	if kind == ListFailed {
-		r.askAt = now + askAgainMin + time.Duration(r.rng.Int64N(int64(askAgainMax-askAgainMin)))
+		least, most := askAgainMin, askAgainMax
+		if r.cfg.Agent {
+			least, most = agentAgainMin, agentAgainMax
+		}
+		r.askAt = now + least + time.Duration(r.rng.Int64N(int64(most-least)))
 	}
 }
