Answer what was taken before SIGTERM before the proxy ends, however long its client waits

Lines at fault: Front.End in internal/state/front.go noted the end for what is taken later only; what was open kept its client's time, which here is longer than the 3 s that SIGKILL waits for. Ruled out: the close of idle clients (the id's connection had a slot open and was not among the closed ones).

Open attempts are now ended at the end's time, and none begins after it; the router answers as for a time-out.

--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -150,9 +150,24 @@
 // Links tells how many connections to databases are counted as open.
 func (f *Front) Links() int { return f.links }
 
-// End tells that the proxy ends at a time: what is taken from now on has its answer before that, however long its
-// client would wait.
-func (f *Front) End(at time.Duration) { f.endAt = at }
+// End tells that the proxy ends at a time: what is open, and what is taken from now on, has its answer by then, however
+// long its client would wait.
+func (f *Front) End(at time.Duration) {
+	f.endAt = at
+	for _, q := range f.requests {
+		if a := q.open; a != nil {
+			f.limit(a)
+		}
+	}
+}
+
+// limit sets the time by which an attempt has its end.
+func (f *Front) limit(a *attempt) {
+	if f.endAt > 0 {
+		a.until = min(a.until, f.endAt)
+	}
+	f.Deadlines.Set(&a.Deadline, a.until, func() { f.expire(a) })
+}
 
 // deadline tells by when a client that waits so long must have its answer.
 func (f *Front) deadline(wait time.Duration) time.Duration {
@@ -247,7 +262,7 @@
 	}
 	a := &attempt{req: q, n: q.tries, to: m, until: now + timeout, sentAt: now}
 	q.tries++
-	if m == nil || q.caller == nil || q.open != nil {
+	if m == nil || q.caller == nil || q.open != nil || f.endAt > 0 && now >= f.endAt {
 		f.tell(func() {
 			f.router.Outcome(f.clock.Now(), logic.Outcome{Request: id, Attempt: a.n, Member: to,
 				Result: logic.Moot, Finished: q.caller == nil})
@@ -256,7 +271,7 @@
 	}
 	f.Counters.Sent++
 	q.open = a
-	f.Deadlines.Set(&a.Deadline, a.until, func() { f.expire(a) })
+	f.limit(a)
 	f.place(a)
 }
 
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -491,6 +491,28 @@
 	}
 }
 
+// What was taken before the signal to end may have a longer time than the proxy: it too ends before the proxy does, and
+// nothing begins after that. Its connection used to end with no answer.
+func TestWhatIsOpenAtTheEndIsDueBeforeIt(t *testing.T) {
+	b := newBench(t, 9)
+	c := &caller{}
+	id := b.take(c)
+	b.conns[0].to.Up()
+	b.f.End(b.now + 100*time.Millisecond)
+	b.told = nil
+	b.pass(99 * time.Millisecond)
+	b.want()
+	b.pass(time.Millisecond)
+	b.want(outcome(logic.TimedOut, false))
+	b.f.Send(id, b.id("two"), time.Second)
+	b.want(outcome(logic.Moot, false))
+	b.f.Fail(id)
+	c.want(t, "failed")
+	if len(b.conns) != 1 || b.f.Pending() != 0 {
+		t.Errorf("%d connections were opened, %d requests are pending", len(b.conns), b.f.Pending())
+	}
+}
+
 func TestDeadlinesRunInOrderAndMove(t *testing.T) {
 	var q Deadlines
 	var ran []int
