Tell a client the end before closing, and look into the kernel first for what it has sent

Lines at fault: client.closeIdle and Server.closeFor looked at netpoll's reader only, so a query that the kernel held was closed over (reset, its answer never sent), and hangUp closed at once, so that what crossed the close reset the connection, with the last answers if they were still on their way; leave did so 20 ms after its last word.

Now the sending side is shut, what still comes is read and dropped, and the connection closes with the client's close or after 0.2 s; when room is wanted, those go first. Both new tests force the crossing by keeping netpoll from reading; without the mend they fail: 'connection reset by peer', 'closed for room though it has asked'. TestIdleAndSilentClientsMakeRoom lets the client that is turned away close, and waits for its place.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -18,9 +18,9 @@
 	// silent or stops half way holds a descriptor for nobody, and is owed an error or a close within three seconds.
 	queryPatience = 2200 * time.Millisecond
 	maxBuffered   = 2 * pg.MaxMessage // of queries that wait for room under way
-	// A last word is lost if its connection is closed over unread bytes, so those on their way are waited for. No
-	// longer than that: to the client, the end of the connection is the end of the answer.
-	lingerFor    = 20 * time.Millisecond
+	// Closed over unread bytes, a connection is reset, and the last answers may be lost with it. So the client is told
+	// the end first and has so long to close its side, many times the way there and back.
+	lingerFor    = 200 * time.Millisecond
 	maxPipelined = 16 // queries of one client that may be under way; hundreds at once would crowd out the others'
 )
 
@@ -34,7 +34,7 @@
 const (
 	phaseStartup phase = iota
 	phaseServing
-	phaseLeaving // broke the protocol, or is turned away: nothing more is read
+	phaseLeaving // gets its last word or has got it: what it still sends is nobody's
 	phaseClosed
 )
 
@@ -42,16 +42,18 @@
 type client struct {
 	s     *Server
 	conn  netpoll.Connection
+	fd    *descriptor
 	in    buffer
 	phase phase
 	full  bool // beyond the proxy's limit: it is turned away once it has spoken
 	held  int  // bytes of its buffer that are in the server's account
 	asked bool // it has sent a whole query
+	ended bool // nothing more is sent to it
 	half  bool // it has sent a part of one, and the timer runs for the rest
 	slots []*slot
 	timer state.Deadline
 
-	list  *list.List // the server's silent or idle clients, or nil
+	list  *list.List // the server's silent, idle or ending clients, or nil
 	place *list.Element
 	since time.Duration // when it came there
 }
@@ -124,10 +126,12 @@
 }
 
 // settle puts the client among those that may be closed for want of room: the silent ones, which have sent no whole
-// query yet, and the idle ones, which are owed nothing.
+// query yet, the idle ones, which are owed nothing, and those that are told the end and have yet to close.
 func (c *client) settle() {
 	var to *list.List
 	switch {
+	case c.phase == phaseLeaving && c.ended:
+		to = &c.s.ending
 	case c.phase >= phaseLeaving:
 	case !c.asked:
 		to = &c.s.silent
@@ -251,13 +255,13 @@
 	c.slots = append(c.slots[:0], c.slots[n:]...)
 	c.write(out)
 	if last {
-		c.s.deadlines.Set(&c.timer, c.s.clock.Now()+lingerFor, c.hangUp)
+		c.finish()
 	}
 	if held { // queries may wait in the buffer for room
 		c.s.loop.Post(c.parse)
 	}
 	if c.s.draining && len(c.slots) == 0 {
-		c.s.loop.Post(c.closeIdle)
+		c.s.loop.Post(func() { c.closeIdle(false) })
 	}
 	c.settle()
 }
@@ -274,7 +278,7 @@
 }
 
 // leave gives the client a last word, behind the answers that are still due: what it asked before it broke the
-// protocol has been taken. The connection closes only once the client has had the time to read that.
+// protocol has been taken.
 func (c *client) leave(code, text string) {
 	if c.phase >= phaseLeaving {
 		return
@@ -286,13 +290,28 @@
 	sl.give(pg.AppendFatal(nil, code, text))
 }
 
-// closeIdle closes a connection that owes nothing.
-func (c *client) closeIdle() {
-	if c.phase != phaseClosed && len(c.slots) == 0 && len(c.in.bytes) == 0 && c.conn.Reader().Len() == 0 {
-		c.hangUp()
+// closeIdle ends a connection that owes nothing; half a query, which has not been taken, holds it up unless the client
+// has had its time for the rest.
+func (c *client) closeIdle(half bool) {
+	if c.phase < phaseLeaving && len(c.slots) == 0 && (half || len(c.in.bytes) == 0) && c.quiet() {
+		c.finish()
 	}
 }
 
+// quiet tells that nothing has come that the loop has yet to see.
+func (c *client) quiet() bool { return c.fd.empty() }
+
+// finish ends a connection in good order. What crosses the end is read, so that no reset takes the last answers away,
+// and not sent on: the client sees that it has no answer and sends it elsewhere.
+func (c *client) finish() {
+	c.phase, c.ended = phaseLeaving, true
+	c.fd.endSending()
+	c.in.cut(len(c.in.bytes))
+	c.account()
+	c.settle()
+	c.s.deadlines.Set(&c.timer, c.s.clock.Now()+lingerFor, c.hangUp)
+}
+
 func (c *client) abandon() {
 	for _, sl := range c.slots {
 		if !sl.done && sl.id != 0 {
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -60,6 +60,7 @@
 	address string
 	to      state.Listener
 	conn    netpoll.Connection // nil until it is connected
+	fd      *descriptor
 	in      buffer
 	out     []byte
 	reply   pg.Reply
@@ -124,7 +125,7 @@
 		db.lost(err)
 		return
 	}
-	db.conn = conn
+	db.conn, db.fd = conn, descriptorOf(conn)
 	attach(db.d.Loop, conn, db.readable, func() { db.lost(nil) })
 	if !db.closed {
 		db.owes = true
@@ -163,15 +164,7 @@
 // Quiet implements state.Conn. Answers bear no name: whatever comes without a command, even what the kernel still
 // holds, would be taken for the answer to the next one.
 func (db *database) Quiet() bool {
-	if db.closed || db.conn == nil || db.owes || !db.conn.IsActive() || len(db.in.bytes) > 0 || db.conn.Reader().Len() > 0 {
-		return false
-	}
-	c, ok := db.conn.(netpoll.Conn)
-	if !ok {
-		return true
-	}
-	_, _, err := syscall.Recvfrom(c.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN // neither bytes nor their end
+	return !db.closed && db.conn != nil && !db.owes && db.conn.IsActive() && len(db.in.bytes) == 0 && db.fd.empty()
 }
 
 // Close implements state.Conn.
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	stdnet "net"
 	"slices"
 	"strings"
@@ -269,7 +270,9 @@
 	oldest := comes(ask, welcome+"IZ")
 	second := comes(ask, welcome+"IZ")
 	third := comes(ask, welcome+"IZ")
-	comes(ask, "E!") // nobody has been idle or silent for long enough
+	comes(ask, "E!").conn.Close()    // nobody has been idle or silent for long enough
+	for s.listener.open.Load() > 4 { // it has a place until it has closed too
+	}
 	skip(s, silentFor)
 	comes(ask, welcome+"IZ")
 	skip(s, idleFor)
@@ -546,7 +549,7 @@
 	half := pg.AppendQuery(nil, "")[:3]
 	ask := func() bool {
 		got := make(chan bool)
-		loop.Post(func() { got <- s.Drained() })
+		loop.Post(func() { got <- s.Drained(false) })
 		return <-got
 	}
 	p.conn.Write(half)
@@ -574,6 +577,96 @@
 	}
 }
 
+// crossing runs f on the loop for the first client while netpoll is kept from reading: what f sends stays in the kernel.
+// netpoll waits for the loop's lock with what a second client has sent.
+func crossing(t *testing.T, s *Server, f func(first *client)) {
+	t.Helper()
+	var first, second *client
+	added := func(c **client) {
+		t.Helper()
+		for *c == nil {
+			found := make(chan struct{})
+			s.loop.Post(func() {
+				for x := range s.clients {
+					if x != first {
+						*c = x
+					}
+				}
+				close(found)
+			})
+			<-found
+		}
+	}
+	added(&first)
+	p := dial(t, s)
+	p.conn.Write(pg.AppendStartup(nil, "client", "core"))
+	p.said(len(welcome))
+	added(&second)
+	crossed := make(chan struct{})
+	s.loop.Post(func() {
+		s.loop.mu.Lock()
+		p.conn.Write([]byte{pg.TypeQuery})
+		for second.conn.Reader().Len() == 0 {
+		}
+		f(first)
+		s.loop.mu.Unlock()
+		close(crossed)
+	})
+	<-crossed
+}
+
+// served gives a client whose first query has been answered.
+func served(t *testing.T, s *Server) *peer {
+	t.Helper()
+	p := dial(t, s)
+	p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), query("a")))
+	if types, _ := p.said(len(welcome) + 3); types != welcome+"DCZ" {
+		t.Fatalf("the client got %q", types)
+	}
+	return p
+}
+
+// A client that sends on while it is told the end loses no answer by that, and nothing that it sends then is taken. The
+// close over unread bytes used to reset the connection.
+func TestWhatCrossesTheEndIsReadAndNotTaken(t *testing.T) {
+	s, front, loop := proxy(t, member(t, echo), 8, 1)
+	p := served(t, s)
+	crossing(t, s, func(c *client) {
+		c.closeIdle(false)
+		p.conn.Write(pg.AppendQuery(nil, query("b"))) // the end is under way, the loop has seen none of this
+	})
+	if n, err := p.conn.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Fatalf("the client got %d bytes, error %v, want its end", n, err)
+	}
+	if _, err := p.conn.Write(pg.AppendQuery(nil, query("c"))); err != nil {
+		t.Errorf("the connection was reset under the client: %v", err)
+	}
+	p.conn.Close()
+	for left := 2; left > 1; {
+		got := make(chan bool)
+		loop.Post(func() { left = len(s.clients); got <- front.Counters.Taken > 1 })
+		if <-got {
+			t.Fatal("what came after the end was taken")
+		}
+	}
+}
+
+// What has come but not been read holds the end up: the answer comes first.
+func TestEndWaitsForWhatTheKernelHolds(t *testing.T) {
+	s, _, _ := proxy(t, member(t, echo), 8, 1)
+	p := served(t, s)
+	crossing(t, s, func(c *client) {
+		p.conn.Write(pg.AppendQuery(nil, query("b")))
+		if c.quiet() {
+			t.Error("the client is closed for room though it has asked")
+		}
+		c.closeIdle(false)
+	})
+	if types, _ := p.said(3); types != "DCZ" {
+		t.Errorf("the client got %q", types)
+	}
+}
+
 // Many clients with half a large query each must not fill the memory.
 func TestHalfQueriesAreBoundedTogether(t *testing.T) {
 	s, _, loop := proxy(t, member(t, echo), 8, 1)
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -45,6 +45,7 @@
 	clients     map[*client]struct{}
 	silent      list.List // those that have sent no whole query yet, the oldest first
 	idle        list.List // those that are owed nothing, idle for longest first
+	ending      list.List // those that are told the end and have not closed yet
 	buffered    int       // bytes that wait in clients' buffers for the rest of their query
 	maxBuffered int       // beyond that, who holds more than a little is told to come again
 	maxClients  int
@@ -156,7 +157,7 @@
 
 // accept makes the client of a new connection; it runs on the loop, before anything that the client sent.
 func (s *Server) accept(ctx context.Context, conn netpoll.Connection) context.Context {
-	c := &client{s: s, conn: conn}
+	c := &client{s: s, conn: conn, fd: descriptorOf(conn)}
 	s.front.Counters.Clients++
 	s.makeRoom()
 	if c.full = s.crowded(); c.full {
@@ -188,6 +189,10 @@
 	for {
 		e := s.silent.Front()
 		full := s.crowded() || len(s.clients) >= s.maxClients+s.maxExcess
+		if ending := s.ending.Front(); full && ending != nil {
+			ending.Value.(*client).hangUp()
+			continue
+		}
 		if manySilent := s.silent.Len() > s.maxClients/silentPart; !manySilent && !full {
 			return
 		} else if e == nil || !manySilent && now-e.Value.(*client).since < silentFor {
@@ -215,7 +220,7 @@
 
 // closeFor closes a client for others, unless it has spoken, which the loop has yet to see.
 func (s *Server) closeFor(c *client, now time.Duration) {
-	if c.conn.Reader().Len() > 0 {
+	if !c.quiet() {
 		c.since = now
 		c.list.MoveToBack(c.place)
 		return
@@ -233,11 +238,12 @@
 	s.EndListening()
 }
 
-// Drained closes the clients that are owed nothing and tells whether none is left. What netpoll has read and
-// the loop has not yet looked at is owed an answer too, so it is to be asked again until then.
-func (s *Server) Drained() bool {
+// Drained ends the clients that are owed nothing, last also those with half a query, and tells whether none is left.
+// What has come and the loop has not yet looked at is owed an answer too, and those that are told the end have some time
+// to close, so it is to be asked again until then.
+func (s *Server) Drained(last bool) bool {
 	for c := range s.clients {
-		c.closeIdle()
+		c.closeIdle(last)
 	}
 	return len(s.clients) == 0
 }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -195,7 +195,7 @@
 
 func (p *proxy) drained() {
 	now := p.clock.Now()
-	if p.server.Drained() && p.front.Pending() == 0 || now >= p.killAt {
+	if p.server.Drained(now >= p.killAt-lastAnswers) && p.front.Pending() == 0 || now >= p.killAt {
 		p.loop.Stop()
 		return
 	}
