Count a session's writes that are out, or ended with no proof, as committed for its reads

Lines at fault: Router.tokenOf and note, which knew only writes answered here. Ruled out: positions misread (each 'T end' position as on the wire), a demoted primary (role=2 since 14.7 s), another proxy's write (the session asked at this one only).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -95,7 +95,8 @@
 		return nil, err
 	}
 	r := &Router{cfg: cfg, act: actions, rng: rand.New(rand.NewPCG(cfg.Seed, 0x9e3779b97f4a7c15)),
-		members: map[MemberID]*member{}, groups: map[GroupID]*group{}, requests: map[RequestID]*request{},
+		members: map[MemberID]*member{}, groups: map[GroupID]*group{},
+		requests: map[RequestID]*request{}, writing: map[SessionID]int{},
 		cost: make([]time.Duration, len(cfg.Classes)), slow: make([]time.Duration, len(cfg.Classes)),
 		shares: make([]decaying, len(cfg.Tenants)), retries: retryReserve}
 	r.pins.init(keepEntries)
@@ -513,7 +514,8 @@
 	return false
 }
 
-// tokenOf gives the commit that a session read must see; if unknown here, the newest one forgotten.
+// tokenOf gives the commit that a session read must see; if unknown here, the newest one forgotten. A write
+// that is out may have been answered already, though that has yet to come or is lost on the way.
 func (r *Router) tokenOf(now time.Duration, in *Request) time.Duration {
 	if r.cfg.Carried {
 		if in.TokenAge > 0 {
@@ -521,6 +523,9 @@
 		}
 		return 0
 	}
+	if r.writing[in.Session] > 0 {
+		return now
+	}
 	if c, ok := r.commits.get(in.Session); ok {
 		return c
 	}
@@ -563,6 +568,9 @@
 	q.tries = append(q.tries, a)
 	m.out = append(m.out, a)
 	m.bank -= r.cost[q.Class].Seconds() // of no matter unless it is cold
+	if r.remembers(q) {
+		r.writing[q.Session]++
+	}
 	r.act.Send(q.ID, m.ID, q.Deadline-now)
 	return true
 }
@@ -653,6 +661,11 @@
 	a.to.out = slices.DeleteFunc(a.to.out, func(x *attempt) bool { return x == a })
 	a.ran = !o.Result.NeverRan()
 	q.ran = q.ran || a.ran
+	if r.remembers(q) {
+		if r.writing[q.Session]--; r.writing[q.Session] == 0 {
+			delete(r.writing, q.Session)
+		}
+	}
 	r.note(now, a, o)
 	if q.done = q.done || o.Finished; q.done {
 		r.drop(q)
@@ -675,6 +688,9 @@
 // note learns from an outcome: signs of life, role, position, answer time, failures, commits and pins.
 func (r *Router) note(now time.Duration, a *attempt, o Outcome) {
 	q, m := a.req, a.to
+	if a.ran && o.Result != OK && r.remembers(q) { // it may have been committed at any time up to now
+		r.remember(q.Session, now, now)
+	}
 	switch o.Result {
 	case OK, Miss, Failed, Full:
 		r.heard(m, now)
@@ -683,7 +699,7 @@
 			role = RoleReplica
 		}
 		if q.class.Read == Write && o.Result == OK { // the position is the commit's, not the member's
-			if !r.cfg.Carried && q.Session != 0 {
+			if r.remembers(q) {
 				r.remember(q.Session, position, now)
 			}
 			position = 0
@@ -730,6 +746,11 @@
 // failsMore tells a failing member from failures that strike all alike (a bad network, a broken release).
 func (r *Router) failsMore(m *member) bool { return m.failing > failLimit+2*r.failing }
 
+// remembers tells whether later reads of the request's session must see it, and only this router knows.
+func (r *Router) remembers(q *request) bool {
+	return q.class.Read == Write && q.Session != 0 && !r.cfg.Carried
+}
+
 func (r *Router) remember(s SessionID, commit, now time.Duration) {
 	old, _ := r.commits.get(s)
 	dropped, _ := r.commits.put(s, max(old, cmp.Or(commit, now)))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -103,6 +103,43 @@
 	}
 }
 
+// A write's answer may be on its way, or lost after it was given: a read of its session sent meanwhile, or after an end
+// that proves nothing, goes where the write must be seen.
+func TestSessionReadSeesWritesWhoseAnswerHasYetToCome(t *testing.T) {
+	for _, end := range []Result{TimedOut, Reset, Failed, Cancelled} {
+		f := settled(t, testConfig(), 3)
+		w := f.mustSend(f.request(clsUnsafe, 9))
+		f.now += 20 * ms
+		if s := f.serve(f.request(clsSession, 9), ms); s.to != 1 {
+			t.Errorf("while the write is out its session's read goes to replica %d", s.to)
+		}
+		if s := f.serve(f.request(clsSession, 8), ms); s.to == 1 {
+			t.Error("another session's read goes to the primary")
+		}
+		f.now += 20 * ms
+		f.end(w, end)
+		if s := f.serve(f.request(clsSession, 9), ms); s.to != 1 {
+			t.Errorf("after %d, which proves nothing, the read goes to replica %d", end, s.to)
+		}
+		f.pass(300 * ms)
+		f.request(clsBounded, 0) // bounded reads make pings frequent
+		f.pass(1200 * ms)
+		if s := f.serve(f.request(clsSession, 9), ms); s.to == 1 {
+			t.Error("the read still goes to the primary though replicas tell later positions")
+		}
+	}
+	f := settled(t, testConfig(), 3)
+	for w := f.request(clsUnsafe, 9); f.finals[w] == ""; {
+		f.end(f.mustSend(w), Full)
+	}
+	if s := f.serve(f.request(clsSession, 9), ms); s.to == 1 {
+		t.Error("a write that never ran keeps its session's reads from the replicas")
+	}
+	if len(f.r.writing) != 0 {
+		t.Errorf("%d sessions are kept as writing", len(f.r.writing))
+	}
+}
+
 func TestForgottenCommitsBecomeAFloor(t *testing.T) {
 	f := settled(t, testConfig(), 2)
 	for i := 0; i <= keepEntries; i++ {
--- a/logic/state.go
+++ b/logic/state.go
@@ -27,7 +27,8 @@
 	held      []*request
 	pins      recent[pinKey, pin]
 	commits   recent[SessionID, time.Duration]
-	forgotten time.Duration // the newest commit dropped from commits
+	forgotten time.Duration     // the newest commit dropped from commits
+	writing   map[SessionID]int // writes that are out
 
 	cost      []time.Duration // per class, the bare answer time
 	slow      []time.Duration // and the time past which an answer is overdue
