Hold pinned reads to the budget of a cold member too

Line at fault: in Router.choose the pin was taken before bears was asked, so a session's reads went on to a member that had restarted, each at full rate; in a fleet, all pinned sessions at once. Without the mend the test's first read of the pinned session goes to the cold member ('read 0 ...').

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -330,7 +330,8 @@
 		return p, 0
 	}
 	if at, ok := r.pins.get(q.pinKey()); ok && q.Session != 0 && at.term == q.group.term &&
-		r.eligible(now, q, at.to) && q.qualifies(at.to, now) && !r.crowded(now, at.to, part) {
+		r.eligible(now, q, at.to) && q.qualifies(at.to, now) && !r.crowded(now, at.to, part) &&
+		r.bears(now, at.to) {
 		return at.to, 0
 	}
 	if r.long(q) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -415,6 +415,23 @@
 	}
 }
 
+// A session's pin is no way round what a cold member may be sent: a crowd of pinned reads would push it over.
+func TestPinnedReadsDoNotPushAColdMemberOver(t *testing.T) {
+	f := settled(t, testConfig(), 5)
+	pinned := f.serve(f.request(clsSession, 9), 10*ms).to
+	e := entry(int(pinned))
+	e.Born = f.now
+	f.r.Members(f.now, List{Kind: ListDelta, Entries: []Member{e}})
+	f.pass(20 * ms)
+	for i := range 20 {
+		id := f.request(clsSession, 9)
+		if s, ok := f.last(id); ok && s.to == pinned {
+			t.Fatalf("read %d of the session went to the cold member", i)
+		}
+		f.serve(id, 0)
+	}
+}
+
 func TestOddButLegal(t *testing.T) {
 	cfg := testConfig()
 	cfg.Pull = true
