Withhold what waits for a connection when its client goes or its member takes nothing new

An attempt waits up to the connect time-out for its connection. Lines at fault: Front.Abandon left it to the router's Cancel, which settings may forbid, so that it went out for a client that had gone; Front.leave closed idle connections only, so that one that came up late carried it to a member past the time that a drain grants, where the connect time-out is as long as that. It now ends as never sent, after the router has had the news. Without the mend the test's attempts are sent in all three crossings.

--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -220,6 +220,9 @@
 		f.router.Abandoned(f.clock.Now(), id)
 		f.forget(q)
 	})
+	if q.open != nil {
+		f.withhold(q.open)
+	}
 }
 
 // forget drops a request that is answered or abandoned, once no attempt of it is out.
@@ -299,6 +302,13 @@
 	f.end(a, r)
 }
 
+// withhold ends an attempt that waits for a connection to come up: nothing has been sent, and nothing is to be.
+func (f *Front) withhold(a *attempt) {
+	if !a.sent {
+		f.drop(a, Reply{Result: logic.Moot})
+	}
+}
+
 // end tells the router how an attempt ended; the first answer goes to the client before that.
 func (f *Front) end(a *attempt, r Reply) {
 	q := a.req
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"havenproxy/logic"
@@ -66,6 +68,7 @@
 		slog.Info("discovery answers again")
 	}
 	f.tell(func() { f.router.Members(f.clock.Now(), out) })
+	f.withholdAll()
 }
 
 // ListFailed tells that a call failed or that a watch broke; the list in hand still holds.
@@ -117,6 +120,22 @@
 	f.forgetGone(m)
 }
 
+// withholdAll ends the attempts that wait for a connection to a member that takes nothing new: coming up later, it would
+// carry them there after the time that a drain grants. The router knows the news by then and sends them elsewhere.
+func (f *Front) withholdAll() {
+	for _, name := range slices.Sorted(maps.Keys(f.names)) {
+		m := f.names[name]
+		if m == nil || m.state == logic.Ready || m.state == logic.Gone && f.cfg.Logic.DrainOnly {
+			continue
+		}
+		for _, l := range slices.Clone(m.opening) {
+			if l.attempt != nil {
+				f.withhold(l.attempt)
+			}
+		}
+	}
+}
+
 // forgetGone drops a member that is gone, once no connection to it is left: databases come and go under new names
 // all day. Where the list binds no one, only a whole list that leaves it out tells that it won't be sent to again.
 func (f *Front) forgetGone(m *member) {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -37,7 +37,7 @@
 	b.told = append(b.told, fmt.Sprintf(format, args...))
 }
 
-func (b *bench) Members(_ time.Duration, l logic.List) { b.list = l }
+func (b *bench) Members(_ time.Duration, l logic.List) { b.list = l; b.note("members") }
 func (b *bench) Request(_ time.Duration, q logic.Request) {
 	b.note("request")
 	b.depth++
@@ -108,6 +108,7 @@
 	b.f, f.router = f, b
 	f.Start(b, List{Entries: []Entry{{Name: "one", Address: "a:1", Zone: "y", State: logic.Ready},
 		{Name: "two", Address: "a:2", Zone: "?", State: logic.Ready}}})
+	b.told = nil // the news of the start
 	return b
 }
 
@@ -326,6 +327,41 @@
 }
 
 // A database closes connections that stand idle, and a request that crosses the close is lost.
+// A connection may come up long after it was asked for. What waits for it is not sent once its client has gone, whether or
+// not the deployment lets attempts be called off, nor once its member takes nothing new.
+func TestWhatWaitsForAConnectionIsWithheld(t *testing.T) {
+	for name, cross := range map[string]func(b *bench, id logic.RequestID){
+		"abandoned": func(b *bench, id logic.RequestID) { b.f.Abandon(id) },
+		"draining": func(b *bench, _ logic.RequestID) {
+			b.f.Listed(List{Entries: []Entry{{Name: "one", Address: "a:1", State: logic.Draining}}})
+		},
+		"gone": func(b *bench, _ logic.RequestID) {
+			b.f.Listed(List{Entries: []Entry{{Name: "one", Address: "a:1", State: logic.Gone}}})
+		},
+	} {
+		b := newBench(t, 9)
+		cross(b, b.take(&caller{}))
+		if told := b.told[len(b.told)-1]; !strings.HasPrefix(told, fmt.Sprintf("outcome %d", logic.Moot)) {
+			t.Errorf("%s: the router was told last: %s; want that after the news", name, told)
+		}
+		if b.last.Result != logic.Moot {
+			t.Errorf("%s: the attempt ended with %d, want one that was never sent", name, b.last.Result)
+		}
+		b.conns[0].to.Up()
+		if b.conns[0].sent != 0 || !b.conns[0].closed {
+			t.Errorf("%s: sent %d times, connection closed: %v", name, b.conns[0].sent, b.conns[0].closed)
+		}
+	}
+	b := newBench(t, 9)
+	id := b.take(&caller{})
+	b.conns[0].to.Up()
+	b.f.Listed(List{Entries: []Entry{{Name: "one", Address: "a:1", State: logic.Draining}}})
+	b.f.Abandon(id)
+	if b.conns[0].closed {
+		t.Error("what has been sent was cut off")
+	}
+}
+
 func TestIdleConnectionsAreDroppedInTime(t *testing.T) {
 	b := newBench(t, 9)
 	b.take(&caller{})
