Catch signals from the first moment: a SIGHUP during the start ended the proxy

Found by reading. Line at fault: Main read the configuration before signal.Notify, and SIGHUP ends a process that has not asked for it. The test holds the reading up with a FIFO and sends the signal then; without the mend its process ends with 'signal: hangup'. The signal is heeded once the proxy runs.

--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -43,6 +43,13 @@
 
 // Main runs the proxy until it is told to stop.
 func Main() error {
+	signal.Ignore(syscall.SIGPIPE)    // a log reader that goes away must not end the proxy
+	caught := make(chan os.Signal, 4) // from the first moment: SIGHUP ends a process that doesn't catch it
+	signal.Notify(caught, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	defer func() {
+		signal.Stop(caught)
+		close(caught) // ends the goroutine below
+	}()
 	path := os.Getenv("EDGE_CONFIG")
 	if path == "" {
 		return fmt.Errorf("EDGE_CONFIG is not set")
@@ -54,9 +61,6 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	}
-	signal.Ignore(syscall.SIGPIPE) // a log reader that goes away must not end the proxy
-	caught := make(chan os.Signal, 4)
-	signal.Notify(caught, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	p, err := start(cfg)
 	if err != nil {
 		return err
@@ -66,8 +70,6 @@
 	go p.signals(caught, path)
 	p.loop.Run()
 	slog.Info("stopped", "unanswered", p.front.Pending(), "counters", &p.front.Counters)
-	signal.Stop(caught)
-	close(caught) // ends the goroutine above
 	return nil
 }
 
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -287,3 +287,38 @@
 		t.Error(err)
 	}
 }
+
+// A SIGHUP that comes while the proxy starts used to end it. It is heeded once the proxy runs.
+func TestHangUpDuringTheStart(t *testing.T) {
+	log := make(lines, 999)
+	defer slog.SetDefault(slog.Default())
+	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
+	text := fmt.Sprintf(config, 1024, "127.0.0.1:9")
+	before, _ := discovery(t)
+	after, calls := discovery(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(path, 0o600); err != nil { // whoever opens it waits for the other side
+		t.Fatal(err)
+	}
+	write := func(address string, meanwhile func()) {
+		file, err := os.OpenFile(path, os.O_WRONLY, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer file.Close()
+		meanwhile()
+		file.WriteString(strings.Replace(text, "127.0.0.1:1", address, 1))
+	}
+	t.Setenv("EDGE_CONFIG", path)
+	ended := make(chan error)
+	go func() { ended <- Main() }()
+	write(before, func() { syscall.Kill(os.Getpid(), syscall.SIGHUP) }) // it is reading now
+	log.until(t, "msg=started")
+	write(after, func() {}) // the next reading
+	log.until(t, "msg=reloaded")
+	<-calls
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
