--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -36,6 +36,7 @@
 type Databases struct {
 	Loop           *Loop
 	ConnectTimeout time.Duration
+	Counters       *state.Counters
 
 	toldAt  time.Duration // when spoilt bytes were last logged
 	givenUp int           // dials whose connection nobody waits for any more
@@ -48,6 +49,7 @@
 const tellSpoilt = 10 * time.Second
 
 func (d *Databases) noteSpoilt(address string, err error) {
+	d.Counters.Spoilt++
 	if now := d.Loop.clock.Now(); d.toldAt == 0 || now-d.toldAt >= tellSpoilt {
 		d.toldAt = now
 		slog.Warn("database sends what is no answer", "address", address, "error", err)
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -56,7 +56,7 @@
 		t.Fatal(err)
 	}
 	loop := NewLoop(clock, &front.Deadlines)
-	databases.Loop = loop
+	databases.Loop, databases.Counters = loop, &front.Counters
 	s := NewServer(loop, clock, front, clients, excess, 32<<20)
 	s.easy = clients // each test closes clients for one reason
 	if err := s.Listen("127.0.0.1:0"); err != nil {
@@ -405,6 +405,10 @@
 		if n := <-got; n == 0 {
 			t.Errorf("%s: no reset was counted", name)
 		}
+		loop.Post(func() { got <- front.Counters.Spoilt })
+		if spoilt := <-got > 0; spoilt != (name != "closes") {
+			t.Errorf("%s: counted as spoilt: %v", name, spoilt)
+		}
 	}
 }
 
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -131,7 +131,7 @@
 		p.patience = min(max(p.patience, c.Limit), longestPatience)
 	}
 	p.loop = net.NewLoop(p.clock, &p.front.Deadlines)
-	databases.Loop = p.loop
+	databases.Loop, databases.Counters = p.loop, &p.front.Counters
 	buffers := mostBuffers
 	if cfg.MemoryMB > 0 {
 		buffers = min(cfg.MemoryMB<<20/bufferPart, mostBuffers)
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -9,7 +9,7 @@
 	OK, Miss, Error, Full, TimedOut, ConnectFailed uint64 // their ends
 	Reset, Cancelled                               uint64
 	Probes, ProbesOK                               uint64
-	Opened, ClosedIdle, NoRoom                     uint64 // database connections
+	Opened, ClosedIdle, NoRoom, Spoilt             uint64 // database connections
 	ListCalls, ListFailures                        uint64
 	Clients, MadeRoom, TurnedAway, Malformed       uint64 // client connections
 }
@@ -25,7 +25,7 @@
 		slog.Uint64("cancelled", c.Cancelled),
 		slog.Uint64("probes", c.Probes), slog.Uint64("probes_ok", c.ProbesOK),
 		slog.Uint64("opened", c.Opened), slog.Uint64("closed_idle", c.ClosedIdle),
-		slog.Uint64("no_room", c.NoRoom),
+		slog.Uint64("no_room", c.NoRoom), slog.Uint64("spoilt", c.Spoilt),
 		slog.Uint64("list_calls", c.ListCalls), slog.Uint64("list_failures", c.ListFailures),
 		slog.Uint64("clients", c.Clients), slog.Uint64("made_room", c.MadeRoom),
 		slog.Uint64("turned_away", c.TurnedAway), slog.Uint64("malformed", c.Malformed))
