Don't send a bounded read whose connection came up after its data had become too old

Ruled out: session tokens (a bounded read), a primary's excuse (a replica).

The router now tells until when the position makes the member fit, and what could not be written by then goes back unsent; the connection is kept. Without the mend the test's read is sent 1 ms too late.

--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -104,6 +104,7 @@
 	n      int
 	to     *member
 	until  time.Duration
+	by     time.Duration // it is not written later; 0 = at any time
 	sentAt time.Duration
 	link   *link
 	sent   bool // its last byte was written
@@ -257,13 +258,13 @@
 }
 
 // Send implements logic.Actions. The outcome is told later, also where nothing can be sent.
-func (f *Front) Send(id logic.RequestID, to logic.MemberID, timeout time.Duration) {
+func (f *Front) Send(id logic.RequestID, to logic.MemberID, timeout, by time.Duration) {
 	now := f.clock.Now()
 	q, m := f.requests[id], f.members[to]
 	if q == nil {
 		return
 	}
-	a := &attempt{req: q, n: q.tries, to: m, until: now + timeout, sentAt: now}
+	a := &attempt{req: q, n: q.tries, to: m, until: now + timeout, by: by, sentAt: now}
 	q.tries++
 	if m == nil || q.caller == nil || q.open != nil || f.endAt > 0 && now >= f.endAt {
 		f.tell(func() {
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -143,6 +143,12 @@
 // write sends an attempt over a connection that is up.
 func (f *Front) write(l *link, a *attempt) {
 	f.Deadlines.Clear(&l.Deadline)
+	if a.by > 0 && f.clock.Now() > a.by {
+		l.attempt, a.link = nil, nil
+		f.rest(l)
+		f.end(a, Reply{Result: logic.Moot})
+		return
+	}
 	l.state, l.attempt, a.link = linkBusy, a, l
 	if err := l.conn.Send(a.req.cmd, a.until-f.clock.Now()); err != nil {
 		f.drop(a, Reply{Result: logic.ConnectFailed})
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	b.f.Send(id, b.id("one"), 500*time.Millisecond)
+	b.f.Send(id, b.id("one"), 500*time.Millisecond, 0)
 	return id
 }
 
@@ -296,7 +296,7 @@
 func TestNeverTwoAttemptsAtOnce(t *testing.T) {
 	b := newBench(t, 9)
 	id := b.take(&caller{})
-	b.f.Send(id, b.id("two"), time.Second)
+	b.f.Send(id, b.id("two"), time.Second, 0)
 	if b.want("request", outcome(logic.Moot, false)); len(b.conns) != 1 {
 		t.Errorf("%d connections", len(b.conns))
 	}
@@ -305,7 +305,7 @@
 // What a router's action brings about at once must not come back to it before it has returned.
 func TestTheRouterIsNotCalledFromWithinItself(t *testing.T) {
 	b, c := newBench(t, 0), &caller{} // no room for any connection
-	b.onReq = func() { b.f.Send(1, b.id("one"), time.Second); b.f.Probe(b.id("one")) }
+	b.onReq = func() { b.f.Send(1, b.id("one"), time.Second, 0); b.f.Probe(b.id("one")) }
 	if _, err := b.f.Take(Request{Class: "any", Wait: time.Second, Command: command{}, Caller: c}); err != nil {
 		t.Fatal(err)
 	}
@@ -362,6 +362,29 @@
 	}
 }
 
+// A bounded read counts its data's age from the sending. A connection that comes up after what is known of its member has
+// become too old is kept for others, and the read goes back to the router unsent.
+func TestWhatHasBecomeTooOldWhileItWaitedIsNotSent(t *testing.T) {
+	for late, sent := range map[time.Duration]int{0: 1, time.Millisecond: 0} {
+		b := newBench(t, 9)
+		id, _ := b.f.Take(Request{Class: "any", Wait: time.Second, Command: command{}, Caller: &caller{}})
+		b.f.Send(id, b.id("one"), 500*time.Millisecond, b.now+100*time.Millisecond)
+		b.told = nil
+		b.pass(100*time.Millisecond + late)
+		b.conns[0].to.Up()
+		if b.conns[0].sent != sent || b.conns[0].closed {
+			t.Errorf("%v after the time it was sent %d times, connection closed: %v", late, b.conns[0].sent, b.conns[0].closed)
+		}
+		if sent == 0 {
+			b.want(outcome(logic.Moot, false))
+		}
+		b.f.Send(id, b.id("one"), 500*time.Millisecond, 0)
+		if sent == 0 && (b.conns[0].sent != 1 || len(b.conns) != 1) {
+			t.Errorf("the connection was not kept: %d sent on it, %d opened", b.conns[0].sent, len(b.conns))
+		}
+	}
+}
+
 func TestIdleConnectionsAreDroppedInTime(t *testing.T) {
 	b := newBench(t, 9)
 	b.take(&caller{})
@@ -540,7 +563,7 @@
 	b.want()
 	b.pass(time.Millisecond)
 	b.want(outcome(logic.TimedOut, false))
-	b.f.Send(id, b.id("two"), time.Second)
+	b.f.Send(id, b.id("two"), time.Second, 0)
 	b.want(outcome(logic.Moot, false))
 	b.f.Fail(id)
 	c.want(t, "failed")
--- a/internal/wire/sim/frames.go
+++ b/internal/wire/sim/frames.go
@@ -386,7 +386,7 @@
 }
 
 // Send implements logic.Actions.
-func (e *Encoder) Send(id logic.RequestID, to logic.MemberID, timeout time.Duration) {
+func (e *Encoder) Send(id logic.RequestID, to logic.MemberID, timeout, _ time.Duration) {
 	rec := e.add(actDeliver)
 	rec.putU64(5, uint64(id))
 	rec.putMember(13, to)
--- a/internal/wire/sim/sim_test.go
+++ b/internal/wire/sim/sim_test.go
@@ -181,7 +181,7 @@
 	var e Encoder
 	e.Instance = 3
 	id, m := logic.RequestID(0xfd2a55d3a91c4), logic.MemberID(0x0a124a07)<<16|0x2bc3
-	e.Send(id, m, 80*time.Millisecond)
+	e.Send(id, m, 80*time.Millisecond, 0)
 	e.SetTimer(77, 8912250*time.Microsecond)
 	e.Log("two servers known")
 	e.Probe(m)
--- a/logic/api.go
+++ b/logic/api.go
@@ -242,7 +242,9 @@
 
 // Actions are what a router asks of its front, at the time of the event that it is handling.
 type Actions interface {
-	Send(id RequestID, to MemberID, timeout time.Duration)
+	// Send makes an attempt. What is known of the member makes it fit until the time by, 0 = for good: one that could not
+	// be written by then is not to be sent.
+	Send(id RequestID, to MemberID, timeout, by time.Duration)
 	Probe(to MemberID)
 	Refuse(id RequestID, comeBack time.Duration) // final: it is safe to try again, best after comeBack
 	Fail(id RequestID)                           // final: nothing is promised about the effect
--- a/logic/front_test.go
+++ b/logic/front_test.go
@@ -29,16 +29,17 @@
 	n  int
 	to MemberID
 	at time.Duration
+	by time.Duration
 }
 
-func (f *front) Send(id RequestID, to MemberID, _ time.Duration) {
+func (f *front) Send(id RequestID, to MemberID, _, by time.Duration) {
 	n := 0
 	for _, s := range f.sends {
 		if s.id == id {
 			n++
 		}
 	}
-	f.sends = append(f.sends, sent{id, n, to, f.now})
+	f.sends = append(f.sends, sent{id, n, to, f.now, by})
 }
 func (f *front) Probe(to MemberID) { f.probes = append(f.probes, to) }
 func (f *front) Refuse(id RequestID, comeBack time.Duration) {
@@ -217,7 +218,7 @@
 
 type printer struct{}
 
-func (printer) Send(id RequestID, to MemberID, _ time.Duration) {
+func (printer) Send(id RequestID, to MemberID, _, by time.Duration) {
 	fmt.Printf("send request %d to member %d\n", id, to)
 }
 func (printer) Probe(MemberID)                  {}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -572,10 +572,19 @@
 	if r.remembers(q) {
 		r.writing[q.Session]++
 	}
-	r.act.Send(q.ID, m.ID, q.Deadline-now)
+	r.act.Send(q.ID, m.ID, q.Deadline-now, r.fitUntil(q, m))
 	return true
 }
 
+// fitUntil tells until when a bounded read may begin at a replica: its age counts from the sending, and a
+// connection may take longer to come up than the known position has left.
+func (r *Router) fitUntil(q *request, m *member) time.Duration {
+	if q.class.Read != Bounded || m == q.group.primary || r.cfg.Checks != ChecksNone {
+		return 0
+	}
+	return m.position + q.class.MaxAge
+}
+
 // effectAllows keeps effects from happening twice: attempts that are out count as may have run.
 func (r *Router) effectAllows(now time.Duration, q *request, m *member) bool {
 	if !r.cfg.Parallel && q.open() {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -140,6 +140,19 @@
 	}
 }
 
+// The age of a bounded read's data counts from its sending, which a new connection may hold up.
+func TestBoundedReadBeginsWhileItsDataIsFit(t *testing.T) {
+	f := settled(t, testConfig(), 3)
+	s := f.mustSend(f.request(clsBounded, 0))
+	m, bound := f.r.members[s.to], f.r.cfg.Classes[clsBounded].MaxAge
+	if s.to == 1 || s.by != m.position+bound {
+		t.Errorf("the read at %d may begin until %v, its data is fit until %v", s.to, s.by, m.position+bound)
+	}
+	if s := f.mustSend(f.request(clsFresh, 0)); s.to != 1 || s.by != 0 {
+		t.Errorf("a read at the primary may begin until %v, which stands at the present", s.by)
+	}
+}
+
 func TestForgottenCommitsBecomeAFloor(t *testing.T) {
 	f := settled(t, testConfig(), 2)
 	for i := 0; i <= keepEntries; i++ {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -93,7 +93,7 @@
 	}
 }
 
-func (w *world) Send(id RequestID, to MemberID, _ time.Duration) {
+func (w *world) Send(id RequestID, to MemberID, _, _ time.Duration) {
 	q, m := w.reqs[id], w.find(to)
 	w.sends++
 	switch {
@@ -381,26 +381,26 @@
 // The checker itself must see a broken rule.
 func TestCheckerSeesBrokenRules(t *testing.T) {
 	for want, act := range map[string]func(w *world, q *book){
-		"sent after the end": func(w *world, q *book) { q.ended = true; w.Send(q.ID, 1, 0) },
-		"drain":              func(w *world, q *book) { w.members[1].state = Draining; w.Send(q.ID, 2, 0) },
-		"outside the group":  func(w *world, q *book) { w.Send(q.ID, 9, 0) },
+		"sent after the end": func(w *world, q *book) { q.ended = true; w.Send(q.ID, 1, 0, 0) },
+		"drain":              func(w *world, q *book) { w.members[1].state = Draining; w.Send(q.ID, 2, 0, 0) },
+		"outside the group":  func(w *world, q *book) { w.Send(q.ID, 9, 0, 0) },
 		"effect twice": func(w *world, q *book) {
 			q.class.Effect = SingleShot
 			w.cfg.Parallel = true
-			w.Send(q.ID, 1, 0)
-			w.Send(q.ID, 1, 0)
+			w.Send(q.ID, 1, 0, 0)
+			w.Send(q.ID, 1, 0, 0)
 		},
 		"stale bounded read": func(w *world, q *book) {
 			w.members[1].position = w.now - time.Hour
 			q.class.Read, q.class.MaxAge = Bounded, time.Second
-			w.Send(q.ID, 2, 0)
+			w.Send(q.ID, 2, 0, 0)
 		},
 		"stale session read": func(w *world, q *book) {
 			q.class.Read, q.token = Session, w.now
-			w.Send(q.ID, 2, 0)
+			w.Send(q.ID, 2, 0, 0)
 		},
 		"final answer late or twice":     func(w *world, q *book) { w.Fail(q.ID); w.Fail(q.ID) },
-		"refused though it may have run": func(w *world, q *book) { q.class.Effect = Guarded; w.Send(q.ID, 1, 0); w.Refuse(q.ID, 0) },
+		"refused though it may have run": func(w *world, q *book) { q.class.Effect = Guarded; w.Send(q.ID, 1, 0, 0); w.Refuse(q.ID, 0) },
 	} {
 		w := newWorld(t, 3)
 		q := &book{Request: Request{ID: 1, Group: 0, Deadline: w.now + time.Second}, class: Class{Read: Any, Limit: time.Second}}
@@ -436,4 +436,4 @@
 
 type printerless struct{ printer }
 
-func (printerless) Send(RequestID, MemberID, time.Duration) {}
+func (printerless) Send(RequestID, MemberID, time.Duration, time.Duration) {}
