--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,6 +25,8 @@
 	housekeeping = 10 * time.Millisecond  // how finely silence, pings and held requests are looked at
 	freshHold    = 300 * time.Millisecond // a new router waits so long for pings, which take milliseconds
 
+	knownAfter = 100 * time.Millisecond // what an answer tells counts as known so long after its writing
+
 	shareSpan = time.Second // a tenant's traffic is held against its quota over this
 
 	// Thin traffic: where those periods give a member over thinAll pings a second from all fronts, and cost over
@@ -516,7 +518,7 @@
 }
 
 // tokenOf gives the commit that a session read must see; if unknown here, the newest one forgotten. A write
-// that is out may have been answered already, though that has yet to come or is lost on the way.
+// that is out may have been answered, and the answer lost on the way; it counts as known after knownAfter.
 func (r *Router) tokenOf(now time.Duration, in *Request) time.Duration {
 	if r.cfg.Carried {
 		if in.TokenAge > 0 {
@@ -524,13 +526,14 @@
 		}
 		return 0
 	}
-	if r.writing[in.Session] > 0 {
-		return now
+	token, ok := r.commits.get(in.Session)
+	if !ok {
+		token = r.forgotten
 	}
-	if c, ok := r.commits.get(in.Session); ok {
-		return c
+	if r.writing[in.Session] > 0 {
+		token = max(token, now-knownAfter)
 	}
-	return r.forgotten
+	return token
 }
 
 func (r *Router) start(now time.Duration, q *request) {
