Log how requests end badly, why they are refused, and what holds the loop up

A line for each request that is refused, failed or late, with id, class, group, attempts and reason, 20 a second at most; counters for late answers, for each reason of a refusal and for the longest round of the loop; the first request and the first answer after a start; counters every 10 s, since a killed process writes none at its end.

Behaviour is unchanged.

--- a/internal/net/discovery.go
+++ b/internal/net/discovery.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	stdnet "net"
 	"net/http"
 	"time"
@@ -183,6 +184,7 @@
 
 // failed ends a watch; the router asks again when it sees fit.
 func (d *Discovery) failed(err error) {
+	slog.Debug("discovery call failed", "error", err, "after", d.clock.Now()-d.calledAt, "generation", d.generation)
 	d.watching = false
 	d.hangUp()
 	d.front.ListFailed(err)
--- a/internal/net/discovery_test.go
+++ b/internal/net/discovery_test.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &watcher{t: t, now: clock, front: front, loop: NewLoop(clock, &front.Deadlines)}
+	w := &watcher{t: t, now: clock, front: front, loop: NewLoop(clock, &front.Deadlines, &front.Counters)}
 	w.Discovery = NewDiscovery(w.loop, clock, front, address, 3, isAgent)
 	w.loop.Post(func() { front.Start(w.Discovery, state.List{}) })
 	done := make(chan struct{})
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -18,6 +18,7 @@
 type Loop struct {
 	clock     state.Clock
 	deadlines *state.Deadlines
+	held      holdWatch
 
 	mu    sync.Mutex
 	queue []func()
@@ -33,8 +34,8 @@
 )
 
 // NewLoop makes a loop and lets netpoll run its callbacks there.
-func NewLoop(clock state.Clock, deadlines *state.Deadlines) *Loop {
-	l := &Loop{clock: clock, deadlines: deadlines, wake: make(chan struct{}, 1)}
+func NewLoop(clock state.Clock, deadlines *state.Deadlines, counters *state.Counters) *Loop {
+	l := &Loop{clock: clock, deadlines: deadlines, held: holdWatch{counters: counters}, wake: make(chan struct{}, 1)}
 	newest.Store(l)
 	setRunner.Do(func() {
 		netpoll.SetRunner(func(_ context.Context, f func()) { newest.Load().Post(f) })
@@ -61,11 +62,13 @@
 		l.mu.Lock()
 		work, l.queue = l.queue, work[:0]
 		l.mu.Unlock()
+		begin := l.clock.Now()
 		for i, f := range work {
 			f()
 			work[i] = nil
 		}
 		l.deadlines.Run(l.clock.Now())
+		l.held.round(begin, l.clock.Now(), len(work))
 		if l.stop || len(work) > 0 {
 			continue
 		}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	loop := NewLoop(clock, &front.Deadlines)
+	loop := NewLoop(clock, &front.Deadlines, &front.Counters)
 	databases.Loop, databases.Counters = loop, &front.Counters
 	s := NewServer(loop, clock, front, clients, excess, 32<<20)
 	s.easy = clients // each test closes clients for one reason
@@ -528,7 +528,7 @@
 	}
 	defer ln.Close()
 	var deadlines state.Deadlines
-	loop := NewLoop(state.NewClock(), &deadlines)
+	loop := NewLoop(state.NewClock(), &deadlines, &state.Counters{})
 	connect(loop, ln.Addr().String(), patience, func(conn netpoll.Connection, err error) {
 		defer loop.Stop()
 		if err != nil {
@@ -731,7 +731,7 @@
 // closed, the next server's had the same number, and clients of that were accepted for the one that had ended.
 func TestServerThatEndsEarlyTakesNoClientsOfTheNext(t *testing.T) {
 	for range 50 {
-		first := NewServer(NewLoop(state.NewClock(), &state.Deadlines{}), nil, &state.Front{}, 1, 1, 1)
+		first := NewServer(NewLoop(state.NewClock(), &state.Deadlines{}, &state.Counters{}), nil, &state.Front{}, 1, 1, 1)
 		if err := first.Listen("127.0.0.1:0"); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -37,6 +37,8 @@
 	closeBefore = 300 * time.Millisecond
 	lastAnswers = 100 * time.Millisecond // the last answers are due so long before the end
 
+	countersEvery = 10 * time.Second // how often the counters are logged
+
 	defaultSockets        = 1024
 	defaultConnectTimeout = 250 * time.Millisecond
 )
@@ -92,6 +94,7 @@
 	patience time.Duration // the longest that a request may take
 	stopping bool
 	timer    state.Deadline
+	counting state.Deadline
 	killAt   time.Duration
 }
 
@@ -130,7 +133,7 @@
 	for _, c := range s.Config.Classes {
 		p.patience = min(max(p.patience, c.Limit), longestPatience)
 	}
-	p.loop = net.NewLoop(p.clock, &p.front.Deadlines)
+	p.loop = net.NewLoop(p.clock, &p.front.Deadlines, &p.front.Counters)
 	databases.Loop, databases.Counters = p.loop, &p.front.Counters
 	buffers := mostBuffers
 	if cfg.MemoryMB > 0 {
@@ -141,10 +144,21 @@
 		return nil, err
 	}
 	p.discovery = net.NewDiscovery(p.loop, p.clock, p.front, cfg.Discovery, cfg.Known.Generation, s.Config.Agent)
-	p.loop.Post(func() { p.front.Start(p.discovery, net.ListOf(cfg.Known)) })
+	p.loop.Post(func() {
+		p.front.Start(p.discovery, net.ListOf(cfg.Known))
+		p.logCounters()
+	})
 	return p, nil
 }
 
+// logCounters writes the counters from time to time: a process that is killed writes none at its end.
+func (p *proxy) logCounters() {
+	p.front.Deadlines.Set(&p.counting, p.clock.Now()+countersEvery, func() {
+		slog.Info("counters", "pending", p.front.Pending(), "connections", p.front.Links(), "counters", &p.front.Counters)
+		p.logCounters()
+	})
+}
+
 // signals hands signals to the loop; path is that of the configuration.
 func (p *proxy) signals(caught <-chan os.Signal, path string) {
 	for s := range caught {
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -86,16 +86,21 @@
 	links       int
 	fullAt      time.Duration // when it was last told that there is no room for another
 	listFailing bool
+	requestLog  requestLog
+	changes     listChanges // by the list in hand
 }
 
 type request struct {
-	id     logic.RequestID
-	name   string
-	class  int
-	cmd    Command
-	caller Caller // nil once answered or abandoned
-	tries  int
-	open   *attempt // never two at once
+	id       logic.RequestID
+	name     string
+	class    int
+	group    int
+	takenAt  time.Duration
+	deadline time.Duration // its client waits until then
+	cmd      Command
+	caller   Caller // nil once answered or abandoned
+	tries    int
+	open     *attempt // never two at once
 }
 
 type attempt struct {
@@ -194,11 +199,13 @@
 		f.named[in.Name] = struct{}{}
 	}
 	f.lastID++
-	f.Counters.Taken++
-	q := &request{id: f.lastID, name: in.Name, class: class, cmd: in.Command, caller: in.Caller}
+	if f.Counters.Taken++; f.Counters.Taken == 1 {
+		slog.Info("first request", "id", in.Name, "class", in.Class, "group", in.Group, "waits", in.Wait)
+	}
+	q := &request{id: f.lastID, name: in.Name, class: class, group: in.Group, takenAt: f.clock.Now(),
+		deadline: f.deadline(in.Wait), cmd: in.Command, caller: in.Caller}
 	f.requests[q.id] = q
-	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group),
-		Deadline: f.deadline(in.Wait), Retry: in.Retry}
+	out := logic.Request{ID: q.id, Class: class, Group: logic.GroupID(in.Group), Deadline: q.deadline, Retry: in.Retry}
 	switch f.cfg.Logic.Classes[class].Read { // elsewhere the key names no session
 	case logic.Session:
 		out.Session, out.TokenAge = logic.SessionID(in.Session), tokenAge(f.clock, in.After)
@@ -217,6 +224,7 @@
 	}
 	q.caller = nil
 	f.Counters.Abandoned++
+	f.ended(q, "abandoned", "")
 	f.tell(func() {
 		f.router.Abandoned(f.clock.Now(), id)
 		f.forget(q)
@@ -234,8 +242,8 @@
 	}
 }
 
-// answer ends a request; a second answer never comes through.
-func (f *Front) answer(id logic.RequestID, count *uint64, give func(Caller)) {
+// answer ends a request; a second answer never comes through. Of one that is served the reason is empty.
+func (f *Front) answer(id logic.RequestID, count *uint64, ending, reason string, give func(Caller)) {
 	q := f.requests[id]
 	if q == nil || q.caller == nil {
 		return
@@ -243,18 +251,20 @@
 	caller := q.caller
 	q.caller = nil
 	*count++
+	f.ended(q, ending, reason)
 	give(caller)
 	f.forget(q)
 }
 
 // Refuse implements logic.Actions.
-func (f *Front) Refuse(id logic.RequestID, comeBack time.Duration) {
-	f.answer(id, &f.Counters.Refused, func(c Caller) { c.Refused(comeBack) })
+func (f *Front) Refuse(id logic.RequestID, comeBack time.Duration, why logic.Refusal) {
+	f.Counters.refuse(why)
+	f.answer(id, &f.Counters.Refused, "refused", refusalNames[why], func(c Caller) { c.Refused(comeBack) })
 }
 
 // Fail implements logic.Actions.
 func (f *Front) Fail(id logic.RequestID) {
-	f.answer(id, &f.Counters.Failed, Caller.Failed)
+	f.answer(id, &f.Counters.Failed, "failed", "it may have run, and may not be repeated", Caller.Failed)
 }
 
 // Send implements logic.Actions. The outcome is told later, also where nothing can be sent.
@@ -326,10 +336,13 @@
 	a.to.heard(r, false)
 	switch {
 	case r.Result == logic.OK:
-		f.answer(q.id, &f.Counters.Served, func(c Caller) { c.Served(r.Body) })
+		if f.Counters.Served == 0 {
+			slog.Info("first answer", "id", q.name, "after", f.clock.Now()-q.takenAt)
+		}
+		f.answer(q.id, &f.Counters.Served, "served", "", func(c Caller) { c.Served(r.Body) })
 	case r.Unfit: // no member can use it, and none is to blame: it has failed, and the router learns no more
 		r.Result = logic.Cancelled
-		f.answer(q.id, &f.Counters.Failed, Caller.Failed)
+		f.answer(q.id, &f.Counters.Failed, "failed", "the database rejects the statement", Caller.Failed)
 	}
 	now := f.clock.Now()
 	o := logic.Outcome{Request: q.id, Attempt: a.n, Member: a.to.id, Result: r.Result, Took: now - a.sentAt,
@@ -339,27 +352,6 @@
 	f.tell(func() { f.router.Outcome(f.clock.Now(), o) })
 }
 
-func (c *Counters) end(r logic.Result) {
-	switch r {
-	case logic.OK:
-		c.OK++
-	case logic.Miss:
-		c.Miss++
-	case logic.Failed:
-		c.Error++
-	case logic.Full:
-		c.Full++
-	case logic.TimedOut:
-		c.TimedOut++
-	case logic.ConnectFailed:
-		c.ConnectFailed++
-	case logic.Reset:
-		c.Reset++
-	case logic.Cancelled:
-		c.Cancelled++
-	}
-}
-
 // SetTimer implements logic.Actions.
 func (f *Front) SetTimer(id logic.TimerID, at time.Duration) {
 	d := f.timers[id]
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -44,8 +44,29 @@
 	probe   *link
 }
 
+// changeLines is how many changed databases of one list have a line of their own in the log.
+const changeLines = 20
+
+// listChanges counts what a list changed, for the log.
+type listChanges struct{ joined, changed int }
+
+// log writes one line for a list that changed something.
+func (c *listChanges) log(l List, took time.Duration) {
+	if c.joined+c.changed == 0 {
+		return
+	}
+	slog.Info("list applied", "kind", listKinds[l.Kind], "entries", len(l.Entries), "joined", c.joined,
+		"changed", c.changed, "took", took)
+}
+
+var listKinds = [...]string{logic.ListDelta: "changes", logic.ListFull: "whole", logic.ListCached: "cached",
+	logic.ListFailed: "failed"}
+
 // Listed takes in news of the list.
 func (f *Front) Listed(l List) {
+	begin := f.clock.Now()
+	f.changes = listChanges{}
+	defer func() { f.changes.log(l, f.clock.Now()-begin) }()
 	out := logic.List{Kind: l.Kind}
 	for _, m := range f.names {
 		m.seen = false
@@ -87,7 +108,7 @@
 	if m == nil {
 		m = &member{id: f.memberID(e.Name), name: e.Name, state: e.State, links: map[*link]struct{}{}}
 		f.names[e.Name], f.members[m.id] = m, m
-		slog.Info("database listed", "name", e.Name, "address", e.Address, "group", e.Group, "state", stateName(e.State))
+		f.changes.joined++
 	}
 	if m.address != e.Address && e.Address != "" {
 		m.address = e.Address
@@ -111,7 +132,9 @@
 // leave notes a change of a member's state. One that wants nothing new needs no idle connections.
 func (f *Front) leave(m *member, to logic.MemberState) {
 	if m.state != to {
-		slog.Info("database changed", "name", m.name, "address", m.address, "from", stateName(m.state), "to", stateName(to))
+		if f.changes.changed++; f.changes.changed <= changeLines {
+			slog.Info("database changed", "name", m.name, "address", m.address, "from", stateName(m.state), "to", stateName(to))
+		}
 	}
 	m.state = to
 	if to != logic.Ready {
@@ -153,7 +176,9 @@
 		role = r.Load.Role
 	}
 	if role != logic.RoleUnknown && role != m.role {
-		slog.Info("database role", "name", m.name, "address", m.address, "from", roleNames[m.role], "to", roleNames[role])
+		if m.role != logic.RoleUnknown {
+			slog.Info("database role", "name", m.name, "address", m.address, "from", roleNames[m.role], "to", roleNames[role])
+		}
 		m.role = role
 	}
 	if !probe {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -146,7 +146,7 @@
 	id := b.take(c)
 	b.conns[0].to.Up()
 	b.conns[0].to.Reply(Reply{Result: logic.OK, Body: []byte("v"), Role: logic.RoleReplica, Position: 1767225600000})
-	b.f.Refuse(id, time.Second) // too late: it has its answer
+	b.f.Refuse(id, time.Second, logic.RefusedCrowded) // too late: it has its answer
 	b.f.Fail(id)
 	c.want(t, "served v")
 	b.want("request", outcome(logic.OK, true))
@@ -310,7 +310,7 @@
 		t.Fatal(err)
 	}
 	b.want("request", outcome(logic.Moot, false), fmt.Sprintf("probed %d", logic.Moot))
-	b.f.Refuse(1, time.Millisecond)
+	b.f.Refuse(1, time.Millisecond, logic.RefusedCrowded)
 	c.want(t, "refused 1ms")
 }
 
@@ -586,3 +586,16 @@
 		t.Errorf("ran %v, next %v", ran, at)
 	}
 }
+
+func TestRequestLogIsBounded(t *testing.T) {
+	var log requestLog
+	for range 3 * requestLinesPerSecond {
+		log.allow(time.Second)
+	}
+	if log.lines != requestLinesPerSecond || log.suppressed != 2*requestLinesPerSecond {
+		t.Errorf("%d lines in a second, %d suppressed", log.lines, log.suppressed)
+	}
+	if !log.allow(2 * time.Second) {
+		t.Error("no line in the next second")
+	}
+}
--- a/internal/wire/sim/frames.go
+++ b/internal/wire/sim/frames.go
@@ -397,7 +397,7 @@
 func (e *Encoder) Probe(to logic.MemberID) { e.add(actProbe).putMember(5, to) }
 
 // Refuse implements logic.Actions.
-func (e *Encoder) Refuse(id logic.RequestID, comeBack time.Duration) {
+func (e *Encoder) Refuse(id logic.RequestID, comeBack time.Duration, _ logic.Refusal) {
 	rec := e.add(actBusy)
 	rec.putU64(5, uint64(id))
 	rec.putMicros(13, comeBack)
--- a/internal/wire/sim/sim_test.go
+++ b/internal/wire/sim/sim_test.go
@@ -185,7 +185,7 @@
 	e.SetTimer(77, 8912250*time.Microsecond)
 	e.Log("two servers known")
 	e.Probe(m)
-	e.Refuse(id, time.Second)
+	e.Refuse(id, time.Second, logic.RefusedCrowded)
 	e.Fail(id)
 	e.Cancel(id, 2)
 	e.Watch(true)
--- a/logic/api.go
+++ b/logic/api.go
@@ -130,6 +130,27 @@
 	DrainOnly    bool          // only a listed drain binds, "gone" doesn't
 }
 
+// Refusal says why a request is refused.
+type Refusal uint8
+
+// The reasons for a refusal.
+const (
+	RefusedNoTime    Refusal = iota // too little is left of the client's time, or no further attempt is allowed
+	RefusedNoPrimary                // the class needs the primary, and none is known that can be used
+	RefusedCrowded                  // no member that may serve it has room
+)
+
+// hint tells a client how long to stay away.
+func (r Refusal) hint() time.Duration {
+	switch r {
+	case RefusedNoPrimary:
+		return hintNoPrimary
+	case RefusedCrowded:
+		return hintCrowded
+	}
+	return 0
+}
+
 // Request is one try of a client.
 type Request struct {
 	ID       RequestID
@@ -246,8 +267,9 @@
 	// be written by then is not to be sent.
 	Send(id RequestID, to MemberID, timeout, by time.Duration)
 	Probe(to MemberID)
-	Refuse(id RequestID, comeBack time.Duration) // final: it is safe to try again, best after comeBack
-	Fail(id RequestID)                           // final: nothing is promised about the effect
+	// Refuse is a final answer: it is safe to try again, best after comeBack.
+	Refuse(id RequestID, comeBack time.Duration, why Refusal)
+	Fail(id RequestID) // final: nothing is promised about the effect
 	Cancel(id RequestID, attempt int)
 	SetTimer(id TimerID, at time.Duration)
 	Watch(on bool) // ask the list for changes from now on
--- a/logic/front_test.go
+++ b/logic/front_test.go
@@ -42,7 +42,7 @@
 	f.sends = append(f.sends, sent{id, n, to, f.now, by})
 }
 func (f *front) Probe(to MemberID) { f.probes = append(f.probes, to) }
-func (f *front) Refuse(id RequestID, comeBack time.Duration) {
+func (f *front) Refuse(id RequestID, comeBack time.Duration, _ Refusal) {
 	f.final(id, "refused")
 	f.hints[id] = comeBack
 }
@@ -221,13 +221,13 @@
 func (printer) Send(id RequestID, to MemberID, _, by time.Duration) {
 	fmt.Printf("send request %d to member %d\n", id, to)
 }
-func (printer) Probe(MemberID)                  {}
-func (printer) Refuse(RequestID, time.Duration) {}
-func (printer) Fail(RequestID)                  {}
-func (printer) Cancel(RequestID, int)           {}
-func (printer) SetTimer(TimerID, time.Duration) {}
-func (printer) Watch(bool)                      {}
-func (printer) Fetch()                          {}
-func (printer) Log(string)                      {}
+func (printer) Probe(MemberID)                           {}
+func (printer) Refuse(RequestID, time.Duration, Refusal) {}
+func (printer) Fail(RequestID)                           {}
+func (printer) Cancel(RequestID, int)                    {}
+func (printer) SetTimer(TimerID, time.Duration)          {}
+func (printer) Watch(bool)                               {}
+func (printer) Fetch()                                   {}
+func (printer) Log(string)                               {}
 
 var _ Events = (*Router)(nil)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -317,49 +317,49 @@
 	return 1
 }
 
-// choose gives the member for the request's next attempt, or nil and the hint for a refusal.
-func (r *Router) choose(now time.Duration, q *request) (*member, time.Duration) {
+// choose gives the member for the request's next attempt, or nil and the reason for a refusal.
+func (r *Router) choose(now time.Duration, q *request) (*member, Refusal) {
 	p, part := q.group.primary, r.merit(q)
 	r.luck = r.rng.Float64() // one draw for all members: where each is half full, half of all requests are shed
 	if q.class.primaryMode() {
 		if p == nil || !r.usable(p, now) {
 			r.inquire(now, q, len(q.group.members), func(*member) bool { return true })
-			return nil, hintNoPrimary
+			return nil, RefusedNoPrimary
 		}
 		if r.filled(now, p, part) || !r.bears(now, p) {
-			return nil, hintCrowded
+			return nil, RefusedCrowded
 		}
-		return p, 0
+		return p, RefusedNoTime
 	}
 	if at, ok := r.pins.get(q.pinKey()); ok && q.Session != 0 && at.term == q.group.term &&
 		r.eligible(now, q, at.to) && q.qualifies(at.to, now) && !r.crowded(now, at.to, part) &&
 		r.bears(now, at.to) {
-		return at.to, 0
+		return at.to, RefusedNoTime
 	}
 	if r.long(q) {
 		if list := r.stragglers(now, q); len(list) > 0 {
 			if i := slices.IndexFunc(list, func(m *member) bool { return !r.crowded(now, m, part) }); i >= 0 {
-				return list[i], 0
+				return list[i], RefusedNoTime
 			}
-			return nil, hintCrowded
+			return nil, RefusedCrowded
 		}
 	}
 	if m := r.pick(now, q, part, func(m *member) bool { return q.qualifies(m, now) }); m != nil {
-		return m, 0
+		return m, RefusedNoTime
 	}
 	if r.inquire(now, q, 1, func(m *member) bool { return r.eligible(now, q, m) || m == p && q.asked > 0 }) {
-		return nil, hintCrowded
+		return nil, RefusedCrowded
 	}
 	if p != nil && r.usable(p, now) && !q.tried(p) && !r.crowded(now, p, spillPart*part) && r.bears(now, p) {
-		return p, 0
+		return p, RefusedNoTime
 	}
 	// Where members check for themselves, a send can't go stale: one that is too far behind turns it away.
 	if r.cfg.Checks != ChecksNone {
 		if m := r.pick(now, q, part, func(*member) bool { return true }); m != nil {
-			return m, 0
+			return m, RefusedNoTime
 		}
 	}
-	return nil, hintCrowded
+	return nil, RefusedCrowded
 }
 
 // eligible tells whether a replica may be sent the request at all, its position and crowding aside.
@@ -537,8 +537,8 @@
 }
 
 func (r *Router) start(now time.Duration, q *request) {
-	if ok, hint := r.route(now, q); !ok && !q.held && !q.open() {
-		r.finish(now, q, hint)
+	if ok, why := r.route(now, q); !ok && !q.held && !q.open() {
+		r.finish(q, why)
 	}
 }
 
@@ -550,9 +550,9 @@
 }
 
 // route makes the request's next attempt where a member can be chosen.
-func (r *Router) route(now time.Duration, q *request) (bool, time.Duration) {
-	m, hint := r.choose(now, q)
-	return m != nil && r.send(now, q, m), hint
+func (r *Router) route(now time.Duration, q *request) (bool, Refusal) {
+	m, why := r.choose(now, q)
+	return m != nil && r.send(now, q, m), why
 }
 
 // send is the only place that sends a request; each rule is checked here last.
@@ -605,13 +605,14 @@
 }
 
 // finish is the only place that gives a final answer: a refusal where a repeat can do no harm, or a failure.
-func (r *Router) finish(now time.Duration, q *request, hint time.Duration) {
+func (r *Router) finish(q *request, why Refusal) {
 	if q.done {
 		return
 	}
 	q.done = true
 	if !q.ran && !q.open() || q.class.Effect == Free || q.class.Effect == Guarded && q.class.Scope == ScopeAll {
 		// Jitter, so that the refused don't come back together.
+		hint := why.hint()
 		hint = min(hint/2+time.Duration(r.rng.Int64N(int64(hint)+1)), r.cfg.MaxComeBack)
 		if !r.cfg.MayComeBack {
 			hint = 0
@@ -619,7 +620,7 @@
 		if !q.over && q.Tenant >= 0 && q.Tenant < len(r.shares) {
 			r.shares[q.Tenant].sum--
 		}
-		r.act.Refuse(q.ID, hint)
+		r.act.Refuse(q.ID, hint, why)
 	} else {
 		r.act.Fail(q.ID)
 	}
@@ -684,12 +685,12 @@
 		r.drop(q)
 		return
 	}
-	ok, hint := false, hintCrowded
+	ok, why := false, RefusedCrowded
 	if r.mayRepeat(now, q) {
-		ok, hint = r.route(now, q)
+		ok, why = r.route(now, q)
 	}
 	if !ok && !q.open() && !q.held {
-		r.finish(now, q, hint)
+		r.finish(q, why)
 	}
 }
 
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -144,7 +144,7 @@
 
 func (w *world) Probe(to MemberID) { w.probes = append(w.probes, to) }
 
-func (w *world) Refuse(id RequestID, _ time.Duration) {
+func (w *world) Refuse(id RequestID, _ time.Duration, _ Refusal) {
 	q := w.reqs[id]
 	for _, a := range q.tries {
 		if q.class.Effect != Free && (a.open || a.mayRun) {
@@ -399,8 +399,12 @@
 			q.class.Read, q.token = Session, w.now
 			w.Send(q.ID, 2, 0, 0)
 		},
-		"final answer late or twice":     func(w *world, q *book) { w.Fail(q.ID); w.Fail(q.ID) },
-		"refused though it may have run": func(w *world, q *book) { q.class.Effect = Guarded; w.Send(q.ID, 1, 0, 0); w.Refuse(q.ID, 0) },
+		"final answer late or twice": func(w *world, q *book) { w.Fail(q.ID); w.Fail(q.ID) },
+		"refused though it may have run": func(w *world, q *book) {
+			q.class.Effect = Guarded
+			w.Send(q.ID, 1, 0, 0)
+			w.Refuse(q.ID, 0, RefusedNoTime)
+		},
 	} {
 		w := newWorld(t, 3)
 		q := &book{Request: Request{ID: 1, Group: 0, Deadline: w.now + time.Second}, class: Class{Read: Any, Limit: time.Second}}
