Let connections that were probed on serve requests and make room for them

Cause: each member had a connection of its own for probes that never counted as idle.

Change: a probe takes an idle connection or opens one, and hands it to requests afterwards; all idle connections are in one order, least recently used first, so making room costs the same with any number of members (it walked all of them). A probe still has its connection to itself, and its time still counts from its writing.

Ruled out: descriptors that clients hold (clients were 8 at once), databases that refuse (stand-ins accept all).

--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -4,6 +4,7 @@
 package state
 
 import (
+	"container/list"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -84,6 +85,7 @@
 	names       map[string]*member
 	members     map[logic.MemberID]*member
 	links       int
+	idle        list.List     // connections, idle for longest first
 	fullAt      time.Duration // when it was last told that there is no room for another
 	listFailing bool
 	requestLog  requestLog
--- a/internal/state/links.go
+++ b/internal/state/links.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"container/list"
 	"log/slog"
 	"slices"
 	"time"
@@ -78,22 +79,17 @@
 	m       *member
 	conn    Conn
 	state   linkState
-	probing bool          // it is the one for probes
-	kept    bool          // its probe in hand is not its first
+	probing bool          // a probe is out on it, or waits for it to come up
+	kept    bool          // that probe is not the first command on it
 	asked   time.Duration // when the probe was written
 	attempt *attempt
+	lru     *list.Element // its place among the idle connections; nil = it is not idle
 }
 
 // place puts an attempt on a connection: an idle one, or a new one.
 func (f *Front) place(a *attempt) {
 	m := a.to
-	for n := len(m.idle); n > 0; n = len(m.idle) {
-		l := m.idle[n-1]
-		if !l.conn.Quiet() { // an answer's second copy, or its end: nothing has been written yet
-			f.close(l)
-			continue
-		}
-		m.idle = m.idle[:n-1]
+	if l := f.takeIdle(m); l != nil {
 		f.write(l, a)
 		return
 	}
@@ -103,10 +99,32 @@
 		return
 	}
 	l.attempt, a.link = a, l
-	m.links[l] = struct{}{}
 	m.opening = append(m.opening, l)
 }
 
+// takeIdle gives a member's idle connection that was used last, or nil.
+func (f *Front) takeIdle(m *member) *link {
+	for n := len(m.idle); n > 0; n = len(m.idle) {
+		l := m.idle[n-1]
+		if l.conn.Quiet() {
+			m.idle = m.idle[:n-1]
+			f.notIdle(l)
+			return l
+		}
+		f.close(l) // an answer's second copy, or its end: nothing has been written yet
+	}
+	return nil
+}
+
+// notIdle takes a connection out of the order in which idle ones are closed.
+func (f *Front) notIdle(l *link) {
+	f.Deadlines.Clear(&l.Deadline)
+	if l.lru != nil {
+		f.idle.Remove(l.lru)
+		l.lru = nil
+	}
+}
+
 // open starts a connection, if need be in the place of one that is idle elsewhere.
 func (f *Front) open(m *member) *link {
 	if f.links+f.opener.GivenUp() >= f.cfg.MaxLinks && !f.makeRoom() {
@@ -120,23 +138,19 @@
 	f.links++
 	f.Counters.Opened++
 	l := &link{f: f, m: m}
+	m.links[l] = struct{}{}
 	l.conn = f.opener.Open(m.address, l)
 	f.Deadlines.Set(&l.Deadline, f.clock.Now()+f.cfg.ConnectTimeout, l.Down)
 	return l
 }
 
-// makeRoom closes the connection that has been idle for longest.
+// makeRoom closes the connection that has been idle for longest, whatever it was used for.
 func (f *Front) makeRoom() bool {
-	var oldest *link
-	for _, m := range f.members {
-		if len(m.idle) > 0 && (oldest == nil || m.idle[0].at < oldest.at) {
-			oldest = m.idle[0]
-		}
-	}
+	oldest := f.idle.Front()
 	if oldest == nil {
 		return false
 	}
-	f.close(oldest)
+	f.close(oldest.Value.(*link))
 	return true
 }
 
@@ -164,7 +178,7 @@
 	}
 	l.state = linkClosed
 	f.links--
-	f.Deadlines.Clear(&l.Deadline)
+	f.notIdle(l)
 	l.conn.Close()
 	m := l.m
 	delete(m.links, l)
@@ -185,15 +199,14 @@
 		f.close(l)
 		return
 	}
-	if !l.probing {
-		if i := slices.IndexFunc(m.opening, func(x *link) bool { return x.attempt != nil }); i >= 0 {
-			a := m.opening[i].attempt
-			m.opening[i].attempt = nil
-			f.write(l, a)
-			return
-		}
-		m.idle = append(m.idle, l)
+	if i := slices.IndexFunc(m.opening, func(x *link) bool { return x.attempt != nil }); i >= 0 {
+		a := m.opening[i].attempt
+		m.opening[i].attempt = nil
+		f.write(l, a)
+		return
 	}
+	m.idle = append(m.idle, l)
+	l.lru = f.idle.PushBack(l)
 	if f.cfg.IdleClose > 0 {
 		f.Deadlines.Set(&l.Deadline, f.clock.Now()+time.Duration(idlePart*float64(f.cfg.IdleClose)), func() {
 			f.Counters.ClosedIdle++
@@ -237,6 +250,7 @@
 	}
 	if l.probing {
 		took := f.clock.Now() - l.asked
+		l.probing, l.m.probe = false, nil
 		f.rest(l)
 		f.probed(l.m, r, took)
 		return
@@ -254,7 +268,7 @@
 	if l.state == linkClosed {
 		return
 	}
-	if l.kept && l.state == linkBusy && l.m.state == logic.Ready {
+	if l.probing && l.kept && l.state == linkBusy && l.m.state == logic.Ready {
 		l.f.close(l)
 		l.f.openProbe(l.m)
 		return
@@ -282,44 +296,41 @@
 
 // fail ends a connection and what is out on it.
 func (l *link) fail(r Reply) {
-	was, a := l.state, l.attempt
+	a := l.attempt
 	l.f.close(l)
 	switch {
 	case a != nil:
 		l.f.end(a, r)
-	case l.probing && was != linkIdle:
+	case l.probing:
 		l.f.probed(l.m, r, 0)
 	}
 }
 
-// Probe implements logic.Actions. Probes have a connection of their own to each member: a ping is to measure
-// the way, not a handshake or a request before it.
+// Probe implements logic.Actions. A probe has its connection to itself while it is out, an idle one or a new one, and its
+// time counts from its writing: a ping is to measure the way, not a handshake or a request before it.
 func (f *Front) Probe(to logic.MemberID) {
 	m := f.members[to]
-	if m == nil || m.probe != nil && m.probe.state != linkIdle {
+	if m == nil || m.probe != nil {
 		f.notProbed(to)
 		return
 	}
 	f.Counters.Probes++
-	if m.probe != nil && !m.probe.conn.Quiet() {
-		f.close(m.probe)
-	}
-	if m.probe != nil {
-		m.probe.kept = true
-		f.ask(m.probe)
+	if l := f.takeIdle(m); l != nil {
+		l.probing, l.kept, m.probe = true, true, l
+		f.ask(l)
 		return
 	}
 	f.openProbe(m)
 }
 
-// openProbe opens the connection for probes, which begins with one.
+// openProbe opens a connection whose first command is a probe.
 func (f *Front) openProbe(m *member) {
 	l := f.open(m)
 	if l == nil {
 		f.notProbed(m.id)
 		return
 	}
-	l.probing, m.probe = true, l
+	l.probing, l.kept, m.probe = true, false, l
 }
 
 // notProbed tells that no probe went out; that says nothing of the member.
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -39,9 +39,9 @@
 	silent bool       // its last probe had no answer
 
 	idle    []*link // the one used last at the end
-	opening []*link
-	links   map[*link]struct{} // all, but for the one for probes
-	probe   *link
+	opening []*link // those that a request was to go out on
+	links   map[*link]struct{}
+	probe   *link // the one that a probe is out on, or waits for
 }
 
 // changeLines is how many changed databases of one list have a line of their own in the log.
@@ -162,7 +162,7 @@
 // forgetGone drops a member that is gone, once no connection to it is left: databases come and go under new names
 // all day. Where the list binds no one, only a whole list that leaves it out tells that it won't be sent to again.
 func (f *Front) forgetGone(m *member) {
-	if m.state == logic.Gone && (!m.seen || !f.cfg.Logic.DrainOnly) && len(m.links) == 0 && m.probe == nil &&
+	if m.state == logic.Gone && (!m.seen || !f.cfg.Logic.DrainOnly) && len(m.links) == 0 &&
 		f.names[m.name] == m {
 		delete(f.names, m.name)
 		delete(f.members, m.id)
@@ -218,7 +218,4 @@
 	for len(m.idle) > 0 {
 		f.close(m.idle[len(m.idle)-1])
 	}
-	if m.probe != nil && m.probe.state == linkIdle {
-		f.close(m.probe)
-	}
 }
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -599,3 +599,25 @@
 		t.Error("no line in the next second")
 	}
 }
+
+func TestProbeConnectionsMakeRoomForRequests(t *testing.T) {
+	b := newBench(t, 1)
+	b.f.Probe(b.id("two"))
+	b.conns[0].to.Up()
+	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	b.take(&caller{})
+	if b.f.Counters.NoRoom != 0 || len(b.conns) != 2 || !b.conns[0].closed {
+		t.Errorf("%d times no room, %d connections made", b.f.Counters.NoRoom, len(b.conns))
+	}
+}
+
+func TestRequestGoesOutOnTheProbesConnection(t *testing.T) {
+	b := newBench(t, 9)
+	b.f.Probe(b.id("one"))
+	b.conns[0].to.Up()
+	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	b.take(&caller{})
+	if len(b.conns) != 1 || b.conns[0].sent != 1 {
+		t.Errorf("%d connections made, %d requests on the first", len(b.conns), b.conns[0].sent)
+	}
+}
