--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,35 +15,14 @@
 )
 
 const (
-	pingWindow   = 15 * time.Millisecond // how much slower than the quickest ping a candidate may be
-	pingEvery    = time.Second           // steady ping period
-	longPart     = 3                     // a read of over bound/longPart may push a replica out of the filter
-	boundPart    = 4                     // while bounded reads run, ping at least every bound/boundPart
-	pingWeight   = 0.2                   // moving average: about the last ten pings
-	readTries    = 3                     // a read's members in all: the first and up to two more
-	stoodStill   = 100 * time.Millisecond
-	housekeeping = 10 * time.Millisecond  // how finely silence, pings and held requests are looked at
-	freshHold    = 300 * time.Millisecond // a new router waits so long for pings, which take milliseconds
+	pingWindow = 15 * time.Millisecond // how much slower than the quickest ping a candidate may be
+	longPart   = 3                     // a read of over bound/longPart may push a replica out of the filter
+	readTries  = 3                     // a read's members in all: the first and up to two more
 
 	knownAfter = 100 * time.Millisecond // what an answer tells counts as known so long after its writing
 
 	shareSpan = time.Second // a tenant's traffic is held against its quota over this
 
-	// Thin traffic: where those periods give a member over thinAll pings a second from all fronts, and cost over
-	// thinPings a request here, pings go out at need, and thinPart of requests in steady use.
-	thinAll   = 20.0 // about a hundredth of a core
-	thinPings = 2.0
-	thinPart  = 0.05
-	thinSpan  = 10 * time.Second      // over which traffic is counted
-	askWait   = 25 * time.Millisecond // a ping takes a few milliseconds; then others are asked
-	askAgain  = 100 * time.Millisecond
-	askRounds = 2
-	silentAsk = 4 * time.Second // a silent member is tried again so often, while requests come
-
-	silentAfter = 80 * time.Millisecond  // pings pass beside the queue: so long tells of the machine or the way
-	quietAsk    = 150 * time.Millisecond // a member that owes answers so long is pinged out of turn
-	coldSilence = time.Second            // a silence this long may have been a restart: treat the member as cold
-
 	failWeight = 0.2 // two or three failures in a row cross failLimit
 	failLimit  = 0.35
 	benchFor   = time.Second // then one trial
@@ -69,15 +48,8 @@
 	hintNoPrimary = 500 * time.Millisecond // a hand-over takes seconds
 	hintCrowded   = 150 * time.Millisecond // a crowd eases in a few service times
 
-	listRoleAge = 5 * time.Second // a list's role is seconds old
-	// List calls that fail are spaced out. The pause and what else passes between a silent watch and the next
-	// call's answer stay inside six seconds; at an agent's, inside the half second that a drain grants.
-	askAgainMin   = 250 * time.Millisecond
-	askAgainMax   = 750 * time.Millisecond
-	agentAgainMin = 20 * time.Millisecond
-	agentAgainMax = 100 * time.Millisecond
-	forgetSilent  = 30 * time.Second // that a silent member is kept where a list doesn't bind
-	callPatient   = 5 * time.Second  // a call without any reply is taken for failed
+	listRoleAge  = 5 * time.Second  // a list's role is seconds old
+	forgetSilent = 30 * time.Second // that a silent member is kept where a list doesn't bind
 
 	fallPart    = 0.5     // of the multiple of its capacity that a cold member may be sent
 	workWeight  = 0.005   // the mix of work, over the last hundreds of requests
@@ -386,59 +358,6 @@
 	return nil
 }
 
-// inquire holds a request that known positions and roles don't serve while it pings members drawn at random,
-// where traffic is too thin to ping all the time. It tells whether the request is to wait.
-func (r *Router) inquire(now time.Duration, q *request, n int, filter func(*member) bool) bool {
-	if !r.cfg.MayProbe || !r.thin(now, q.group) || now+askWait+r.cost[q.Class] >= q.Deadline {
-		return false
-	}
-	waits := func(m *member) bool { return m.probing && filter(m) }
-	if q.asked > 0 && now-q.askedAt < askWait && slices.ContainsFunc(q.group.members, waits) {
-		r.hold(q)
-		return true
-	}
-	more := q.asked == 0 || q.asked < askRounds && q.group.primary != nil // without one all logs stand still
-	var list []*member
-	for _, m := range q.group.members {
-		if more && m.State == Ready && !m.probing && now-m.probedAt >= askAgain &&
-			(!m.silent || q.asked == 0 && n > 1) && filter(m) {
-			list = append(list, m)
-		}
-	}
-	if len(list) == 0 {
-		return false
-	}
-	r.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	if at, ok := r.pins.get(q.pinKey()); ok && slices.Contains(list, at.to) {
-		list[0] = at.to
-	} else if i := slices.Index(list, q.group.primary); i > 0 { // next in line
-		list[0], list[i] = list[i], list[0]
-	}
-	for _, m := range list[:min(n+q.asked, len(list))] {
-		r.probe(now, m)
-	}
-	q.asked, q.askedAt = q.asked+1, now
-	r.hold(q)
-	return true
-}
-
-// thin tells whether pings at the design's periods are too many for the members and this front's requests.
-func (r *Router) thin(now time.Duration, g *group) bool {
-	pings := 1 / r.pingPeriod(now).Seconds()
-	return pings*float64(r.cfg.Fronts) > thinAll && pings*float64(len(g.members)) > thinPings*r.rateOf(now, g)
-}
-
-func (r *Router) rateOf(now time.Duration, g *group) float64 {
-	return g.rate.at(now, thinSpan) / min(thinSpan, now-r.startAt+time.Second).Seconds()
-}
-
-func (r *Router) pingPeriod(now time.Duration) time.Duration {
-	if r.tightest > 0 && now-r.boundedAt < pingEvery {
-		return min(pingEvery, max(r.tightest/boundPart, r.cfg.Tick))
-	}
-	return pingEvery
-}
-
 // nearest keeps those within the ping window of the quickest.
 func (r *Router) nearest(list []*member) []*member {
 	quickest := time.Duration(-1)
@@ -818,151 +737,3 @@
 	m.bank, m.bankAt = min(m.bank+fill*(now-m.bankAt).Seconds(), 0), now
 	return m.bank >= 0
 }
-
-// ---- Probing, silence and discovery ----
-
-// begin starts the router's clockwork at its first event.
-func (r *Router) begin(now time.Duration) {
-	if r.started {
-		return
-	}
-	r.started, r.startAt = true, now
-	r.act.SetTimer(tickTimer, now+max(housekeeping, r.cfg.Tick))
-	if r.cfg.Pull {
-		r.ask(now)
-	}
-}
-
-// Timer drives all that depends on time alone.
-func (r *Router) Timer(now time.Duration, id TimerID) {
-	r.begin(now)
-	if id != tickTimer {
-		return
-	}
-	r.act.SetTimer(tickTimer, now+max(housekeeping, r.cfg.Tick))
-	if r.callAt > 0 && now-r.callAt > callPatient {
-		r.callAnswered(now, ListFailed)
-	}
-	if r.askAt > 0 && now >= r.askAt {
-		r.ask(now)
-	}
-	if r.stood(now) {
-		r.stoodAt = now
-	} else {
-		for _, m := range r.order {
-			r.look(now, m)
-		}
-	}
-	r.tickAt = now
-	r.retryHeld(now)
-}
-
-// stood tells of a batch after this front stood still: its times and silences are no fault of the members.
-func (r *Router) stood(now time.Duration) bool {
-	return now == r.stoodAt || r.tickAt > 0 && now-r.tickAt >= stoodStill
-}
-
-// look notices silence and sends the pings that are due.
-func (r *Router) look(now time.Duration, m *member) {
-	if m.probing && m.heardAt < m.probedAt && now-m.probedAt > silentAfter {
-		r.lost(m, now)
-	}
-	r.hedge(now, m)
-	since := now - m.probedAt
-	// Where most answers take long anyway, a ping for each that is owed would cost more than it saves.
-	owes := len(m.out) > 0 && !m.silent &&
-		now-max(m.heardAt, m.out[0].sentAt, m.probedAt) > max(quietAsk, r.slow[m.out[0].req.Class]/2)
-	g, period, steady := m.group, r.pingPeriod(now), pingEvery
-	if m.role == RolePrimary {
-		period = pingEvery
-	}
-	if r.thin(now, g) {
-		owes = owes || m.silent && since >= silentAsk && g.rate.last > m.probedAt
-		steady = time.Duration(min(float64(len(g.members))/(thinPart*r.rateOf(now, g)), 3600) * 1e9)
-		period = steady
-	}
-	if m.probedAt == 0 || owes || since >= steady || since >= period && now-m.placedAt >= period ||
-		steady == pingEvery && g.primary == nil && since >= min(period, quietAsk) {
-		r.probe(now, m)
-	}
-}
-
-func (r *Router) probe(now time.Duration, m *member) {
-	if r.cfg.MayProbe && !m.probing && m.State == Ready {
-		m.probing, m.probedAt = true, now
-		r.act.Probe(m.ID)
-	}
-}
-
-// Probed takes the result of a ping.
-func (r *Router) Probed(now time.Duration, p Probed) {
-	r.begin(now)
-	m := r.members[p.Member]
-	if m == nil || !m.probing {
-		return
-	}
-	m.probing = false
-	switch p.Result {
-	case OK:
-		m.ping = cmp.Or(m.ping, max(p.Took, 1))
-		m.ping += time.Duration(pingWeight * float64(p.Took-m.ping))
-		r.heard(m, now)
-		// A primary stands at the present, so its position dates the report; a replica's is no later.
-		m.queue, m.queueAt = p.Report.Queue, now
-		r.learn(m, p.Report.Role, p.Report.Position, cmp.Or(p.Report.Position, now), now)
-	case Full, Miss, Failed:
-		r.heard(m, now)
-	case Moot: // it never went out
-	default:
-		if m.heardAt <= m.probedAt {
-			r.lost(m, now)
-		}
-	}
-	r.retryHeld(now)
-}
-
-// opening tells whether a group is unknown to a fresh router: not all its members have answered a ping.
-func (r *Router) opening(now time.Duration, g *group) bool {
-	if now-r.startAt >= freshHold || !r.cfg.MayProbe {
-		return false
-	}
-	return len(g.members) == 0 || slices.ContainsFunc(g.members, func(m *member) bool {
-		return m.State == Ready && m.heardAt == 0 && !m.silent
-	})
-}
-
-// retryHeld releases what was held, as soon as its group is known or waiting is of no more use.
-func (r *Router) retryHeld(now time.Duration) {
-	held := r.held
-	r.held = nil
-	for _, q := range held {
-		q.held = false
-		switch {
-		case q.done:
-		case r.opening(now, q.group) && now+r.cost[q.Class] < q.Deadline-2*housekeeping:
-			r.hold(q)
-		default:
-			r.start(now, q)
-		}
-	}
-}
-
-func (r *Router) ask(now time.Duration) {
-	r.askAt, r.callAt = 0, now
-	r.act.Watch(true)
-}
-
-// callAnswered follows the one outstanding list call.
-func (r *Router) callAnswered(now time.Duration, kind ListKind) {
-	if !r.cfg.Pull || kind == ListCached {
-		return
-	}
-	r.callAt = 0
-	if kind == ListFailed {
-		least, most := askAgainMin, askAgainMax
-		if r.cfg.Agent {
-			least, most = agentAgainMin, agentAgainMax
-		}
-		r.askAt = now + least + time.Duration(r.rng.Int64N(int64(most-least)))
-	}
-}
