Ping only the groups that are used where a fleet has many members

Cause: at its first tick the router pinged every listed member that it had never pinged, so the proxy dialled all of them before its first answer, as far as its descriptors went, and each dial that found no room was told and handled as well; and each tick of 10 ms looked at all members. Log of the test: 'loop was held up', 'database silent' with probe 'could not connect' for databases that were well (the dials' time-outs passed while the loop was busy).

Change: in a fleet of more than 32 members the start pings nothing. A request asks for the pings that it needs, as it does already where traffic is thin, and waits up to 300 ms for the first ones of a group, whose connections have to come up. Housekeeping looks at the groups that have requests, pings out, or much traffic. Up to 32 members nothing changes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -405,6 +405,7 @@
 	q := &request{Request: in, class: &r.cfg.Classes[in.Class], group: r.groupOf(in.Group)}
 	r.requests[in.ID] = q
 	q.group.rate.add(now, thinSpan)
+	r.use(q.group)
 	q.over = r.beyondShare(now, in.Tenant)
 	r.retries = min(r.retries+retryPart, retryReserve)
 	cost := r.cost[q.Class].Seconds()
@@ -490,6 +491,7 @@
 	a := &attempt{req: q, n: len(q.tries), to: m, sentAt: now, open: true}
 	q.tries = append(q.tries, a)
 	m.out = append(m.out, a)
+	r.use(m.group)
 	m.bank -= r.cost[q.Class].Seconds() // of no matter unless it is cold
 	if r.remembers(q) {
 		r.writing[q.Session]++
--- a/logic/probing.go
+++ b/logic/probing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -25,6 +26,10 @@
 	askRounds = 2
 	silentAsk = 4 * time.Second // a silent member is tried again so often, while requests come
 
+	// A fleet of more members than this is pinged where it is used only: pings of all at the design's shortest period would
+	// cost more than a hundredth of a core, and a connection for each member is more than a front may hold.
+	largeFleet = 32
+
 	silentAfter = 80 * time.Millisecond  // pings pass beside the queue: so long tells of the machine or the way
 	quietAsk    = 150 * time.Millisecond // a member that owes answers so long is pinged out of turn
 	coldSilence = time.Second            // a silence this long may have been a restart: treat the member as cold
@@ -55,9 +60,12 @@
 	if r.askAt > 0 && now >= r.askAt {
 		r.ask(now)
 	}
-	if r.stood(now) {
+	switch {
+	case r.stood(now):
 		r.stoodAt = now
-	} else {
+	case r.large():
+		r.lookAtUsed(now)
+	default:
 		for _, m := range r.order {
 			r.look(now, m)
 		}
@@ -66,6 +74,31 @@
 	r.retryHeld(now)
 }
 
+// large tells of a fleet whose members are pinged and looked after only where they are used.
+func (r *Router) large() bool { return len(r.order) > largeFleet }
+
+// use has housekeeping look at a group for as long as it owes answers or is busy.
+func (r *Router) use(g *group) {
+	if !g.used {
+		g.used = true
+		r.used = append(r.used, g)
+	}
+}
+
+// lookAtUsed looks at the groups in use, so that the work of a tick follows the traffic of this front and not the size
+// of the fleet.
+func (r *Router) lookAtUsed(now time.Duration) {
+	r.used = slices.DeleteFunc(r.used, func(g *group) bool {
+		busy := !r.thin(now, g)
+		for _, m := range g.members {
+			r.look(now, m)
+			busy = busy || m.probing || len(m.out) > 0
+		}
+		g.used = busy
+		return !busy
+	})
+}
+
 // stood tells of a batch after this front stood still: its times and silences are no fault of the members.
 func (r *Router) stood(now time.Duration) bool {
 	return now == r.stoodAt || r.tickAt > 0 && now-r.tickAt >= stoodStill
@@ -90,7 +123,10 @@
 		steady = time.Duration(min(float64(len(g.members))/(thinPart*r.rateOf(now, g)), 3600) * 1e9)
 		period = steady
 	}
-	if m.probedAt == 0 || owes || since >= steady || since >= period && now-m.placedAt >= period ||
+	if r.large() && m.probedAt == 0 && period > pingEvery { // nobody has needed to know it yet
+		steady, period = math.MaxInt64, math.MaxInt64
+	}
+	if m.probedAt == 0 && !r.large() || owes || since >= steady || since >= period && now-m.placedAt >= period ||
 		steady == pingEvery && g.primary == nil && since >= min(period, quietAsk) {
 		r.probe(now, m)
 	}
@@ -99,6 +135,7 @@
 func (r *Router) probe(now time.Duration, m *member) {
 	if r.cfg.MayProbe && !m.probing && m.State == Ready {
 		m.probing, m.probedAt = true, now
+		r.use(m.group)
 		r.act.Probe(m.ID)
 	}
 }
@@ -130,9 +167,10 @@
 	r.retryHeld(now)
 }
 
-// opening tells whether a group is unknown to a fresh router: not all its members have answered a ping.
+// opening tells whether a group is unknown to a fresh router: not all its members have answered a ping. In a large fleet
+// a request itself asks for the pings that it needs.
 func (r *Router) opening(now time.Duration, g *group) bool {
-	if now-r.startAt >= freshHold || !r.cfg.MayProbe {
+	if now-r.startAt >= freshHold || !r.cfg.MayProbe || r.large() {
 		return false
 	}
 	return len(g.members) == 0 || slices.ContainsFunc(g.members, func(m *member) bool {
@@ -159,7 +197,13 @@
 // thin tells whether pings at the design's periods are too many for the members and this front's requests.
 func (r *Router) thin(now time.Duration, g *group) bool {
 	pings := 1 / r.pingPeriod(now).Seconds()
-	return pings*float64(r.cfg.Fronts) > thinAll && pings*float64(len(g.members)) > thinPings*r.rateOf(now, g)
+	many := r.large() || pings*float64(r.cfg.Fronts) > thinAll
+	return many && pings*float64(len(g.members)) > thinPings*r.rateOf(now, g)
+}
+
+// heard tells whether any member has ever answered this front.
+func (g *group) heard() bool {
+	return slices.ContainsFunc(g.members, func(m *member) bool { return m.heardAt > 0 })
 }
 
 func (r *Router) rateOf(now time.Duration, g *group) float64 {
@@ -180,7 +224,11 @@
 		return false
 	}
 	waits := func(m *member) bool { return m.probing && filter(m) }
-	if q.asked > 0 && now-q.askedAt < askWait && slices.ContainsFunc(q.group.members, waits) {
+	wait := askWait
+	if r.large() && !q.group.heard() {
+		wait = freshHold // connections have to come up first
+	}
+	if q.asked > 0 && now-q.askedAt < wait && slices.ContainsFunc(q.group.members, waits) {
 		r.hold(q)
 		return true
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -23,6 +23,7 @@
 	members   map[MemberID]*member // looked up only, never ranged over
 	groups    map[GroupID]*group   // likewise
 	order     []*member            // all members, in the order in which they were first listed
+	used      []*group             // those that housekeeping looks at in a large fleet
 	requests  map[RequestID]*request
 	held      []*request
 	pins      recent[pinKey, pin]
@@ -84,7 +85,8 @@
 	work     float64 // what arrives, moving average of bare work a request
 	longWork float64 // the part of it that is long
 	rate     decaying
-	term     int // counts changes of primary; a pin of another term is void
+	used     bool // it is in Router.used
+	term     int  // counts changes of primary; a pin of another term is void
 }
 
 type request struct {
