Take clients only once the list is heard, and accept them in blocking calls

Change: the address is bound at the start, so that errors are still told there; listen(2) is called on the loop, behind the router's first event, when discovery's first call has ended or after 0.35 s. Connections are accepted in blocking calls on a goroutine of its own and handed to the loop; there is no duplicate of the listener's descriptor in two pollers any more.

TestClientsComeOnlyOnceTheListIsHeard fails before (a client could connect).

--- a/internal/net/discovery.go
+++ b/internal/net/discovery.go
@@ -50,6 +50,7 @@
 	generation int64
 	timer      state.Deadline
 	turn       int // counts calls; what an earlier one still has to say is void
+	firstEnd   func()
 }
 
 // NewDiscovery makes the client; generation is that of the list in hand. Agent tells that the address is that of an
@@ -67,6 +68,17 @@
 	return d
 }
 
+// OnFirstEnd has f called once, when the first call has ended, one way or the other.
+func (d *Discovery) OnFirstEnd(f func()) { d.firstEnd = f }
+
+// told tells that a call has ended and its news are taken in.
+func (d *Discovery) told() {
+	if f := d.firstEnd; f != nil {
+		d.firstEnd = nil
+		f()
+	}
+}
+
 // Watch implements state.Watcher.
 func (d *Discovery) Watch(on bool) {
 	d.watching = on
@@ -160,6 +172,7 @@
 		d.deadlines.Set(&d.timer, max(d.calledAt+minPeriod, d.clock.Now()), d.call)
 	}
 	d.front.Listed(ListOf(l))
+	d.told()
 }
 
 // ListOf puts a list into the terms of the state.
@@ -188,6 +201,7 @@
 	d.watching = false
 	d.hangUp()
 	d.front.ListFailed(err)
+	d.told()
 }
 
 // hangUp gives up the call in hand and the connection with it: a late answer must not come for the next call's.
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -59,9 +59,7 @@
 	databases.Loop, databases.Counters = loop, &front.Counters
 	s := NewServer(loop, clock, front, clients, excess, 32<<20)
 	s.easy = clients // each test closes clients for one reason
-	if err := s.Listen("127.0.0.1:0"); err != nil {
-		t.Fatal(err)
-	}
+	listen(t, s)
 	loop.Post(func() {
 		front.Start(noWatch{}, state.List{Entries: []state.Entry{{Name: "m", Address: member, State: logic.Ready}}})
 	})
@@ -74,6 +72,17 @@
 	return s, front, loop
 }
 
+// listen lets a server take clients on a port of its own.
+func listen(t *testing.T, s *Server) {
+	t.Helper()
+	if err := s.Bind("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Listen(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // member is a database of a few lines: it answers each query with its own text, or as the test says.
 func member(t *testing.T, answer func(conn stdnet.Conn, text string) bool) string {
 	t.Helper()
@@ -732,10 +741,8 @@
 func TestServerThatEndsEarlyTakesNoClientsOfTheNext(t *testing.T) {
 	for range 50 {
 		first := NewServer(NewLoop(state.NewClock(), &state.Deadlines{}, &state.Counters{}), nil, &state.Front{}, 1, 1, 1)
-		if err := first.Listen("127.0.0.1:0"); err != nil {
-			t.Fatal(err)
-		}
-		fd := first.listener.Fd()
+		listen(t, first)
+		fd := first.listener.fd
 		first.Drain()
 		if _, err := stdnet.Dial("tcp", first.Address()); err == nil {
 			t.Fatal("a server that has ended accepts")
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -2,10 +2,7 @@
 
 import (
 	"container/list"
-	"context"
 	"log/slog"
-	stdnet "net"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,7 +37,7 @@
 	deadlines *state.Deadlines
 	front     *state.Front
 	listener  *listener
-	events    netpoll.EventLoop
+	listening bool
 
 	clients     map[*client]struct{}
 	silent      list.List // those that have sent no whole query yet, the oldest first
@@ -64,99 +61,46 @@
 		clients: map[*client]struct{}{}, maxClients: maxClients, easy: maxClients / easyPart, maxExcess: maxExcess, maxBuffered: maxBuffered}
 }
 
-// Listen opens the address and starts to accept.
-func (s *Server) Listen(address string) error {
-	lc := stdnet.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { // accepted sockets inherit it
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-		})
-	}}
-	ln, err := lc.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return err
-	}
-	converted, err := netpoll.ConvertListener(ln)
+// Bind reserves the address. Clients are refused until Listen.
+func (s *Server) Bind(address string) error {
+	l, err := bind(address)
 	if err != nil {
 		return err
 	}
-	s.listener = &listener{Listener: converted, most: int64(s.maxClients + s.maxExcess)}
-	s.listener.full = func() {
+	l.most = int64(s.maxClients + s.maxExcess)
+	l.accepted = func(fd int) { s.loop.Post(func() { s.accept(fd) }) }
+	l.full = func() {
 		s.loop.Post(func() {
-			s.listener.asking.Store(false)
+			l.asking.Store(false)
 			s.makeRoom()
 		})
 	}
-	s.events, err = netpoll.NewEventLoop(
-		func(ctx context.Context, _ netpoll.Connection) error {
-			ctx.Value(clientKey{}).(*client).readable()
-			return nil
-		},
-		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
-			conn.AddCloseCallback(func(netpoll.Connection) error { s.listener.open.Add(-1); return nil })
-			return context.Background()
-		}),
-		netpoll.WithOnConnect(s.accept),
-		netpoll.WithWriteTimeout(writePatience),
-		netpoll.WithIdleTimeout(keepAlive))
-	if err != nil {
-		return err
-	}
-	go func() { // Serve blocks until the listener ends
-		if err := s.events.Serve(s.listener); err != nil && !s.listener.ended.Load() {
-			slog.Error("listener ended", "error", err)
-		}
-	}()
+	s.listener = l
 	return nil
 }
 
-// listener ends without closing its descriptor. netpoll's own Close closes the descriptor's number twice, and Serve,
-// which runs beside the loop, may register it only after that: either way the number may by then belong to another
-// connection or listener, which would be closed, or accepted for by a server that has ended. Shut down, the socket
-// refuses connections, and the poller lets go of it by itself.
-type listener struct {
-	netpoll.Listener
-	ended atomic.Bool
-	most  int64 // connections that may be open
-	open  atomic.Int64
-
-	full   func() // lets the loop make room
-	asking atomic.Bool
-}
-
-// Accept implements netpoll.Listener. The poller still asks once when the socket has been shut down. It accepts
-// ahead of the loop: of a burst of hundreds, those that there are no descriptors for are closed here.
-func (l *listener) Accept() (stdnet.Conn, error) {
-	if l.ended.Load() {
-		return nil, nil
-	}
-	conn, err := l.Listener.Accept()
-	if conn == nil || err != nil {
-		return conn, err
-	}
-	if l.open.Add(1) > l.most {
-		l.open.Add(-1)
-		conn.Close()
-		if !l.asking.Swap(true) { // who is closed here can't make room by coming
-			l.full()
-		}
-		return nil, nil
+// Listen starts to take clients, unless that has been ended already.
+func (s *Server) Listen() error {
+	if s.listening || s.listener.ended.Load() {
+		return nil
 	}
-	return conn, nil
-}
-
-func (l *listener) end() {
-	l.ended.Store(true)
-	syscall.Shutdown(l.Fd(), syscall.SHUT_RD)
+	s.listening = true
+	return s.listener.serve()
 }
 
 // Address tells where it listens.
-func (s *Server) Address() string { return s.listener.Addr().String() }
-
-type clientKey struct{}
+func (s *Server) Address() string { return s.listener.address.String() }
 
-// accept makes the client of a new connection; it runs on the loop, before anything that the client sent.
-func (s *Server) accept(ctx context.Context, conn netpoll.Connection) context.Context {
+// accept makes the client of a new connection, before anything that it has sent is read.
+func (s *Server) accept(fd int) {
+	conn, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		s.listener.open.Add(-1)
+		slog.Warn("can't serve a connection", "error", err)
+		return
+	}
+	setClientOptions(fd)
+	conn.SetWriteTimeout(writePatience)
 	c := &client{s: s, conn: conn, fd: descriptorOf(conn)}
 	s.front.Counters.Clients++
 	s.makeRoom()
@@ -171,14 +115,23 @@
 	c.settle()
 	s.ease()
 	conn.AddCloseCallback(func(netpoll.Connection) error {
-		s.loop.Post(c.closed)
+		s.listener.open.Add(-1)
 		return nil
 	})
 	s.deadlines.Set(&c.timer, s.clock.Now()+queryPatience, c.tooSlow)
+	attach(s.loop, conn, c.readable, c.closed)
 	if s.excess > s.maxExcess { // not even a descriptor for an answer
 		c.hangUp()
 	}
-	return context.WithValue(ctx, clientKey{}, c)
+}
+
+// setClientOptions has small answers sent at once, and the kernel ask whether a silent client is still there.
+func setClientOptions(fd int) {
+	syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
+	syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1)
+	for _, option := range []int{syscall.TCP_KEEPIDLE, syscall.TCP_KEEPINTVL} {
+		syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, option, int(keepAlive/time.Second))
+	}
 }
 
 func (s *Server) crowded() bool { return len(s.clients)-s.excess >= s.maxClients }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -37,7 +37,8 @@
 	closeBefore = 300 * time.Millisecond
 	lastAnswers = 100 * time.Millisecond // the last answers are due so long before the end
 
-	countersEvery = 10 * time.Second // how often the counters are logged
+	longestOpening = 350 * time.Millisecond // clients wait so long at most for the first word of discovery
+	countersEvery  = 10 * time.Second       // how often the counters are logged
 
 	defaultSockets        = 1024
 	defaultConnectTimeout = 250 * time.Millisecond
@@ -71,6 +72,9 @@
 		"databases", len(cfg.Known.Instances))
 	go p.signals(caught, path)
 	p.loop.Run()
+	if p.failed != nil {
+		return p.failed
+	}
 	slog.Info("stopped", "unanswered", p.front.Pending(), "counters", &p.front.Counters)
 	return nil
 }
@@ -93,6 +97,8 @@
 
 	patience time.Duration // the longest that a request may take
 	stopping bool
+	failed   error // why the loop was stopped, or nil
+	opening  state.Deadline
 	timer    state.Deadline
 	counting state.Deadline
 	killAt   time.Duration
@@ -140,17 +146,37 @@
 		buffers = min(cfg.MemoryMB<<20/bufferPart, mostBuffers)
 	}
 	p.server = net.NewServer(p.loop, p.clock, p.front, clients, excess, buffers)
-	if err := p.server.Listen(cfg.Listen); err != nil {
+	if err := p.server.Bind(cfg.Listen); err != nil {
 		return nil, err
 	}
 	p.discovery = net.NewDiscovery(p.loop, p.clock, p.front, cfg.Discovery, cfg.Known.Generation, s.Config.Agent)
-	p.loop.Post(func() {
-		p.front.Start(p.discovery, net.ListOf(cfg.Known))
-		p.logCounters()
-	})
+	p.loop.Post(func() { p.begin(net.ListOf(cfg.Known)) })
 	return p, nil
 }
 
+// begin starts the router and lets clients come once discovery has answered or failed: what it tells counts as told from
+// the process's first moment, and the list that the proxy starts with may be old.
+func (p *proxy) begin(known state.List) {
+	begun := p.clock.Now()
+	listen := func() {
+		p.front.Deadlines.Clear(&p.opening)
+		p.discovery.OnFirstEnd(nil)
+		if p.stopping {
+			return
+		}
+		if err := p.server.Listen(); err != nil {
+			p.failed = err
+			p.loop.Stop()
+			return
+		}
+		slog.Info("listening", "after", p.clock.Now()-begun)
+	}
+	p.discovery.OnFirstEnd(listen)
+	p.front.Deadlines.Set(&p.opening, begun+longestOpening, listen)
+	p.front.Start(p.discovery, known)
+	p.logCounters()
+}
+
 // logCounters writes the counters from time to time: a process that is killed writes none at its end.
 func (p *proxy) logCounters() {
 	p.front.Deadlines.Set(&p.counting, p.clock.Now()+countersEvery, func() {
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -62,6 +62,20 @@
 	return ln.Addr().String()
 }
 
+// dialOnceListening connects to a proxy that has just been started.
+func dialOnceListening(t *testing.T, address string) net.Conn {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			return conn
+		}
+		if time.Now().After(end) { // only there to end a test that hangs
+			t.Fatal(err)
+		}
+	}
+}
+
 // After the signal the proxy goes on taking clients for a while, serves those that it has, answers all that it has
 // taken, closes idle clients, and ends by itself.
 func TestStopAnswersWhatIsTaken(t *testing.T) {
@@ -74,10 +88,7 @@
 	ended := make(chan struct{})
 	go func() { p.loop.Run(); close(ended) }()
 	open := func() net.Conn {
-		conn, err := net.Dial("tcp", p.server.Address())
-		if err != nil {
-			t.Fatal(err)
-		}
+		conn := dialOnceListening(t, p.server.Address())
 		t.Cleanup(func() { conn.Close() })
 		conn.SetDeadline(time.Now().Add(20 * time.Second))
 		return conn
@@ -249,10 +260,7 @@
 	ended := make(chan error)
 	go func() { ended <- Main() }()
 	_, address, _ := strings.Cut(log.until(t, "msg=started"), "listen=")
-	client, err := net.Dial("tcp", strings.Fields(address)[0])
-	if err != nil {
-		t.Fatal(err)
-	}
+	client := dialOnceListening(t, strings.Fields(address)[0])
 	defer client.Close()
 	client.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"),
 		"SELECT val FROM state WHERE uid = 'a' /* id=1,c=any,d=15000,cluster=0 */"))
@@ -322,3 +330,38 @@
 		t.Error(err)
 	}
 }
+
+func TestClientsComeOnlyOnceTheListIsHeard(t *testing.T) {
+	told := make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	service := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-told
+		io.WriteString(w, `{"generation":7,"reset":true,"instances":[]}`)
+	})}
+	go service.Serve(ln)
+	defer service.Close()
+	cfg, err := settings.ParseConfig([]byte(strings.Replace(fmt.Sprintf(config, 1024, "127.0.0.1:9"), "127.0.0.1:1", ln.Addr().String(), 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if conn, err := net.Dial("tcp", p.server.Address()); err == nil {
+		conn.Close()
+		t.Error("a client could connect before the proxy had its list")
+	}
+	ended := make(chan struct{})
+	go func() { p.loop.Run(); close(ended) }()
+	close(told)
+	dialOnceListening(t, p.server.Address()).Close()
+	p.loop.Post(func() {
+		p.server.Drain()
+		p.loop.Stop()
+	})
+	<-ended
+}
