--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -27,7 +27,8 @@
 	idleFor    = 2 * time.Second
 	easyPart   = 3 // beyond one in so many of the places, idle clients are closed before there is need
 
-	tellCrowded = 10 * time.Second // no more than one line about it
+	tellCrowded   = 10 * time.Second // no more than one line about it
+	clientsToTell = 3                // the first clients after a start are logged
 )
 
 // Server serves clients.
@@ -102,7 +103,9 @@
 	setClientOptions(fd)
 	conn.SetWriteTimeout(writePatience)
 	c := &client{s: s, conn: conn, fd: descriptorOf(conn)}
-	s.front.Counters.Clients++
+	if s.front.Counters.Clients++; s.front.Counters.Clients <= clientsToTell {
+		slog.Info("client connected", "number", s.front.Counters.Clients)
+	}
 	s.makeRoom()
 	if c.full = s.crowded(); c.full {
 		s.excess++
