Apply a list's changes without walking all databases

Change: only members that the list in hand changed are looked at; members that left are looked for while there are any; a whole list alone resets what a list has named.

--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -3,8 +3,8 @@
 import (
 	"hash/fnv"
 	"log/slog"
-	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"havenproxy/logic"
@@ -47,8 +47,11 @@
 // changeLines is how many changed databases of one list have a line of their own in the log.
 const changeLines = 20
 
-// listChanges counts what a list changed, for the log.
-type listChanges struct{ joined, changed int }
+// listChanges is what a list changed.
+type listChanges struct {
+	joined, changed int
+	left            []*member // those that take nothing new any more
+}
 
 // log writes one line for a list that changed something.
 func (c *listChanges) log(l List, took time.Duration) {
@@ -68,8 +71,11 @@
 	f.changes = listChanges{}
 	defer func() { f.changes.log(l, f.clock.Now()-begin) }()
 	out := logic.List{Kind: l.Kind}
-	for _, m := range f.names {
-		m.seen = false
+	whole := l.Kind != logic.ListDelta
+	if whole {
+		for _, m := range f.names {
+			m.seen = false
+		}
 	}
 	for _, e := range l.Entries {
 		m := f.member(e)
@@ -77,7 +83,7 @@
 		out.Entries = append(out.Entries, logic.Member{ID: m.id, Zone: f.zone(e.Zone), Group: logic.GroupID(e.Group),
 			State: e.State, Size: e.Size, Born: place(f.clock, e.Started)})
 	}
-	if l.Kind != logic.ListDelta {
+	if whole {
 		for _, m := range f.names {
 			if !m.seen {
 				f.leave(m, logic.Gone)
@@ -89,7 +95,7 @@
 		slog.Info("discovery answers again")
 	}
 	f.tell(func() { f.router.Members(f.clock.Now(), out) })
-	f.withholdAll()
+	f.withholdAll(f.changes.left)
 }
 
 // ListFailed tells that a call failed or that a watch broke; the list in hand still holds.
@@ -136,19 +142,22 @@
 			slog.Info("database changed", "name", m.name, "address", m.address, "from", stateName(m.state), "to", stateName(to))
 		}
 	}
-	m.state = to
 	if to != logic.Ready {
+		if m.state != to {
+			f.changes.left = append(f.changes.left, m)
+		}
 		f.closeIdle(m)
 	}
+	m.state = to
 	f.forgetGone(m)
 }
 
-// withholdAll ends the attempts that wait for a connection to a member that takes nothing new: coming up later, it would
-// carry them there after the time that a drain grants. The router knows the news by then and sends them elsewhere.
-func (f *Front) withholdAll() {
-	for _, name := range slices.Sorted(maps.Keys(f.names)) {
-		m := f.names[name]
-		if m == nil || m.state == logic.Ready || m.state == logic.Gone && f.cfg.Logic.DrainOnly {
+// withholdAll ends the attempts that wait for a connection to members that take nothing new any more: coming up later, it
+// would carry them there after the time that a drain grants. The router knows the news by then and sends them elsewhere.
+func (f *Front) withholdAll(left []*member) {
+	slices.SortFunc(left, func(a, b *member) int { return strings.Compare(a.name, b.name) })
+	for _, m := range left {
+		if m.state == logic.Ready || m.state == logic.Gone && f.cfg.Logic.DrainOnly {
 			continue
 		}
 		for _, l := range slices.Clone(m.opening) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -94,6 +94,7 @@
 		return
 	}
 	if l.Kind != ListDelta {
+		r.leaving = true
 		for _, m := range r.order {
 			m.listed = false
 		}
@@ -101,10 +102,24 @@
 	for _, e := range l.Entries {
 		r.entry(now, e)
 	}
-	r.order = slices.DeleteFunc(r.order, func(m *member) bool { return !m.listed && r.leftOut(now, m) })
+	if r.leaving {
+		r.forgetUnlisted(now)
+	}
 	r.retryHeld(now)
 }
 
+// forgetUnlisted drops the members that no list names any more, but for those that are still needed.
+func (r *Router) forgetUnlisted(now time.Duration) {
+	r.leaving = false
+	r.order = slices.DeleteFunc(r.order, func(m *member) bool {
+		if m.listed || r.leftOut(now, m) {
+			return !m.listed
+		}
+		r.leaving = true
+		return false
+	})
+}
+
 func (r *Router) entry(now time.Duration, e Member) {
 	m := r.members[e.ID]
 	if m == nil {
@@ -119,6 +134,7 @@
 		m.coldFrom, m.cold = e.Born, true
 	}
 	m.listed = e.State != Gone
+	r.leaving = r.leaving || !m.listed
 	if r.cfg.DrainOnly && !m.listed { // the list is no proof of what runs: its pings and answers tell
 		e.State = m.State
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -23,6 +23,7 @@
 	members   map[MemberID]*member // looked up only, never ranged over
 	groups    map[GroupID]*group   // likewise
 	order     []*member            // all members, in the order in which they were first listed
+	leaving   bool                 // some of them are not listed any more
 	used      []*group             // those that housekeeping looks at in a large fleet
 	requests  map[RequestID]*request
 	held      []*request
