Don't give a list up while its bytes are coming

What callers would see: requests sent to databases that drain, for as long as a whole list takes longer than discovery's time-out (0.3 s at an agent): the call is given up, made anew and given up again.

Change: a call is given up when no bytes of its answer have come for the patience, and 0.5 s beyond the wait at the latest before that; one that is all there is decoded in any case. The six seconds still hold: 1.5 + 0.5 + 1.0 s for a watch, 0.75 s pause, 0.05 + 0.5 + 1.0 s for the next call. Half a list that stops is given up as before.

--- a/internal/net/discovery.go
+++ b/internal/net/discovery.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	stdnet "net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"havenproxy/internal/state"
@@ -25,6 +26,9 @@
 	firstWait       = 50 * time.Millisecond // so that the first answer comes at once
 	agentPatience   = 300 * time.Millisecond
 	servicePatience = time.Second
+	// A list of thousands takes its time on a part of a core: while its bytes come, a call may take so much longer, which
+	// the six seconds still hold.
+	flowPatience = 500 * time.Millisecond
 
 	maxHead   = 16 << 10
 	minPeriod = 100 * time.Millisecond // of calls; a watch ends where the next one is over 200 ms late
@@ -46,7 +50,8 @@
 	cancel     context.CancelFunc // of the call in hand, or nil
 	watching   bool
 	calledAt   time.Duration
-	first      bool // the next call is the first of its watch
+	progress   *callProgress // of the call in hand
+	first      bool          // the next call is the first of its watch
 	generation int64
 	timer      state.Deadline
 	turn       int // counts calls; what an earlier one still has to say is void
@@ -115,17 +120,60 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel, d.calledAt = cancel, d.clock.Now()
-	d.deadlines.Set(&d.timer, d.calledAt+wait+d.patience, func() { d.failed(errNoAnswer) })
+	progress := &callProgress{clock: d.clock}
+	d.progress = progress
+	d.expect(wait, d.calledAt+wait+d.patience)
 	url := discovery.URL(d.address, d.generation, wait)
 	go func() {
 		defer cancel()
-		l, err := d.get(ctx, url)
+		l, err := d.get(ctx, url, progress)
 		d.loop.Post(func() { d.ended(turn, l, err) })
 	}()
 }
 
+// callProgress tells how far the answer to a call has come. The call's goroutine writes it, the loop reads it.
+type callProgress struct {
+	clock    state.Clock
+	lastByte atomic.Int64 // when bytes of the answer last came, on the clock; 0 = none have
+	whole    atomic.Bool  // all of them have come
+}
+
+// reader notes what is read from an answer's body.
+func (p *callProgress) reader(body io.Reader) io.Reader { return progressReader{p, body} }
+
+type progressReader struct {
+	progress *callProgress
+	body     io.Reader
+}
+
+// Read implements io.Reader.
+func (r progressReader) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if n > 0 {
+		r.progress.lastByte.Store(int64(r.progress.clock.Now()))
+	}
+	return n, err
+}
+
+// expect gives the call in hand up at a time, unless its answer is coming then: one that has fallen silent has no bytes
+// for as long as the first of them may take. An answer that is all there only has to be decoded.
+func (d *Discovery) expect(wait, at time.Duration) {
+	d.deadlines.Set(&d.timer, at, func() {
+		now := d.clock.Now()
+		due := min(time.Duration(d.progress.lastByte.Load()), d.calledAt+wait+flowPatience) + d.patience
+		if d.progress.whole.Load() {
+			due = now + d.patience
+		}
+		if due <= now {
+			d.failed(errNoAnswer)
+			return
+		}
+		d.expect(wait, due)
+	})
+}
+
 // get makes one call. An answer that is cut short, and so one without a length that ends by a reset, is an error.
-func (d *Discovery) get(ctx context.Context, url string) (discovery.List, error) {
+func (d *Discovery) get(ctx context.Context, url string, progress *callProgress) (discovery.List, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return discovery.List{}, err
@@ -139,10 +187,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return discovery.List{}, fmt.Errorf("status %s", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, discovery.MaxBody))
+	body, err := io.ReadAll(io.LimitReader(progress.reader(resp.Body), discovery.MaxBody))
 	if err != nil {
 		return discovery.List{}, err
 	}
+	progress.whole.Store(true)
 	return discovery.ParseList(body)
 }
 
--- a/internal/net/discovery_test.go
+++ b/internal/net/discovery_test.go
@@ -281,3 +281,54 @@
 }
 
 var _ state.Watcher = (*Discovery)(nil)
+
+// send writes a piece of an answer's body and waits until it has been read.
+func (w *watcher) send(c call, progress *callProgress, piece string) {
+	w.t.Helper()
+	sentAt := w.now.Now()
+	fmt.Fprint(c.conn, piece)
+	for end := time.Now().Add(patience); progress.lastByte.Load() < int64(sentAt); time.Sleep(100 * time.Microsecond) {
+		if time.Now().After(end) {
+			w.t.Fatal("a piece of the answer was never read")
+		}
+	}
+}
+
+// inHand gives the progress of the call that is out.
+func (w *watcher) inHand() *callProgress {
+	got := make(chan *callProgress)
+	w.loop.Post(func() { got <- w.progress })
+	return <-got
+}
+
+func TestLongListThatKeepsComingIsNotGivenUp(t *testing.T) {
+	for _, isAgent := range []bool{true, false} {
+		address, calls := agent(t)
+		w := watch(t, address, isAgent)
+		c := <-calls
+		body := fmt.Sprintf(oneListed, 9, true) + strings.Repeat(" ", 4000)
+		fmt.Fprintf(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+		progress := w.inHand()
+		for sent := 0; sent < len(body); sent += 1000 { // each piece comes in time, the last one after the patience
+			piece := body[sent:min(sent+1000, len(body))]
+			w.send(c, progress, piece)
+			w.now.skipped.Add(int64(130 * time.Millisecond))
+			w.seen(func() int { return 0 })
+		}
+		if n := w.failures(); n > 0 {
+			t.Errorf("agent %v: the call was given up %d times", isAgent, n)
+		}
+	}
+}
+
+func TestHalfAListThatStopsIsGivenUpAsSoonAsASilentCall(t *testing.T) {
+	address, calls := agent(t)
+	w := watch(t, address, true)
+	c := <-calls
+	fmt.Fprint(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n")
+	w.send(c, w.inHand(), "{")
+	passed := w.until(func() bool { return w.failures() > 0 })
+	if most := firstWait + agentPatience + 50*time.Millisecond; passed > most {
+		t.Errorf("given up after %v, want %v at most", passed, most)
+	}
+}
