Wait up to a second for discovery's first word before clients come

On a twentieth of a core a whole list of 3,200 databases takes some hundred milliseconds to decode; 0.35 s could let clients come before it, to be routed by the list of the configuration.

--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -37,8 +37,8 @@
 	closeBefore = 300 * time.Millisecond
 	lastAnswers = 100 * time.Millisecond // the last answers are due so long before the end
 
-	longestOpening = 350 * time.Millisecond // clients wait so long at most for the first word of discovery
-	countersEvery  = 10 * time.Second       // how often the counters are logged
+	longestOpening = time.Second      // clients wait so long at most for the first word of discovery
+	countersEvery  = 10 * time.Second // how often the counters are logged
 
 	defaultSockets        = 1024
 	defaultConnectTimeout = 250 * time.Millisecond
