--- a/internal/net/discovery_test.go
+++ b/internal/net/discovery_test.go
@@ -71,7 +71,7 @@
 	clock := &skipClock{SystemClock: state.NewClock()}
 	cfg := settings
 	cfg.Pull, cfg.Agent = true, isAgent
-	front, err := state.New(state.Config{Logic: cfg, MaxLinks: 1, ConnectTimeout: patience}, clock, &Databases{})
+	front, err := state.New(state.Config{Logic: cfg, MaxConnections: 1, ConnectTimeout: patience}, clock, &Databases{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -51,7 +51,7 @@
 	t.Helper()
 	clock := &skipClock{SystemClock: state.NewClock()}
 	databases := &Databases{ConnectTimeout: patience}
-	front, err := state.New(state.Config{Logic: settings, MaxLinks: 16, ConnectTimeout: patience}, clock, databases)
+	front, err := state.New(state.Config{Logic: settings, MaxConnections: 16, ConnectTimeout: patience}, clock, databases)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -521,7 +521,7 @@
 		p.said(2)
 	}
 	got := make(chan int)
-	loop.Post(func() { got <- s.front.Links() })
+	loop.Post(func() { got <- s.front.Connections() })
 	if n := <-got; n != 0 {
 		t.Errorf("%d connections are counted", n)
 	}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -21,7 +21,7 @@
 	excessPart   = 16 // one in so many is for clients that are turned away with an answer
 	// Databases: each request under way holds a connection to one, and clients hold up to a third of the descriptors
 	// for requests. What is over that is for probes, which have a connection to each database.
-	linkShare = 0.4
+	databaseShare = 0.4
 
 	bufferPart  = 8        // one in so many bytes is for what clients have sent of their queries; netpoll may hold as much
 	mostBuffers = 32 << 20 // where there is room for more, too
@@ -105,10 +105,10 @@
 }
 
 // share divides the descriptors between clients, databases, and clients that are turned away.
-func share(sockets int) (clients, links, excess int) {
+func share(sockets int) (clients, connections, excess int) {
 	sockets -= spareSockets
-	links, excess = int(linkShare*float64(sockets)), sockets/excessPart
-	return sockets - links - excess, links, excess
+	connections, excess = int(databaseShare*float64(sockets)), sockets/excessPart
+	return sockets - connections - excess, connections, excess
 }
 
 // start puts the parts together and begins to listen; nothing runs before the loop does.
@@ -117,8 +117,8 @@
 	if sockets <= 0 {
 		sockets = defaultSockets
 	}
-	clients, links, excess := share(sockets)
-	if clients <= 0 || links <= 0 {
+	clients, connections, excess := share(sockets)
+	if clients <= 0 || connections <= 0 {
 		return nil, fmt.Errorf("configuration: limits.sockets: %d are too few", cfg.Sockets)
 	}
 	s := cfg.Settings
@@ -132,7 +132,7 @@
 	databases := &net.Databases{ConnectTimeout: s.ConnectTimeout}
 	var err error
 	p.front, err = state.New(state.Config{Logic: s.Config, Zones: s.Zones, IdleClose: s.IdleClose,
-		ConnectTimeout: s.ConnectTimeout, MaxLinks: links}, p.clock, databases)
+		ConnectTimeout: s.ConnectTimeout, MaxConnections: connections}, p.clock, databases)
 	if err != nil {
 		return nil, err
 	}
@@ -180,7 +180,7 @@
 // logCounters writes the counters from time to time: a process that is killed writes none at its end.
 func (p *proxy) logCounters() {
 	p.front.Deadlines.Set(&p.counting, p.clock.Now()+countersEvery, func() {
-		slog.Info("counters", "pending", p.front.Pending(), "connections", p.front.Links(), "counters", &p.front.Counters)
+		slog.Info("counters", "pending", p.front.Pending(), "connections", p.front.Connections(), "counters", &p.front.Counters)
 		p.logCounters()
 	})
 }
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -142,9 +142,9 @@
 // quarter for databases, a crowd found no connection while clients' places stood empty.
 func TestDescriptorsServeAsManyRequestsAsClientsMayHave(t *testing.T) {
 	for _, sockets := range []int{256, 384, 1024} {
-		clients, links, excess := share(sockets)
-		if requests := sockets / 3; links <= requests || clients <= requests || clients+links+excess+spareSockets > sockets {
-			t.Errorf("of %d descriptors: %d for clients, %d for databases, %d for excess", sockets, clients, links, excess)
+		clients, connections, excess := share(sockets)
+		if requests := sockets / 3; connections <= requests || clients <= requests || clients+connections+excess+spareSockets > sockets {
+			t.Errorf("of %d descriptors: %d for clients, %d for databases, %d for excess", sockets, clients, connections, excess)
 		}
 	}
 }
--- a/internal/state/links.go
+++ b/internal/state/connections.go
@@ -63,22 +63,22 @@
 	Queue    float64 // negative = not told
 }
 
-type linkState uint8
+type connectionState uint8
 
 const (
-	linkOpening linkState = iota
-	linkIdle
-	linkBusy
-	linkClosed
+	connectionOpening connectionState = iota
+	connectionIdle
+	connectionBusy
+	connectionClosed
 )
 
-// link is a connection to a database with what it is used for.
-type link struct {
+// connection is a connection to a database with what it is used for.
+type connection struct {
 	Deadline
 	f       *Front
 	m       *member
 	conn    Conn
-	state   linkState
+	state   connectionState
 	probing bool          // a probe is out on it, or waits for it to come up
 	kept    bool          // that probe is not the first command on it
 	asked   time.Duration // when the probe was written
@@ -89,59 +89,59 @@
 // place puts an attempt on a connection: an idle one, or a new one.
 func (f *Front) place(a *attempt) {
 	m := a.to
-	if l := f.takeIdle(m); l != nil {
-		f.write(l, a)
+	if c := f.takeIdle(m); c != nil {
+		f.write(c, a)
 		return
 	}
-	l := f.open(m)
-	if l == nil { // this proxy's want, which tells nothing of the member
-		f.drop(a, Reply{Result: logic.Moot})
+	c := f.open(m)
+	if c == nil { // this proxy's want, which tells nothing of the member
+		f.abort(a, Reply{Result: logic.Moot})
 		return
 	}
-	l.attempt, a.link = a, l
-	m.opening = append(m.opening, l)
+	c.attempt, a.connection = a, c
+	m.opening = append(m.opening, c)
 }
 
 // takeIdle gives a member's idle connection that was used last, or nil.
-func (f *Front) takeIdle(m *member) *link {
+func (f *Front) takeIdle(m *member) *connection {
 	for n := len(m.idle); n > 0; n = len(m.idle) {
-		l := m.idle[n-1]
-		if l.conn.Quiet() {
+		c := m.idle[n-1]
+		if c.conn.Quiet() {
 			m.idle = m.idle[:n-1]
-			f.notIdle(l)
-			return l
+			f.notIdle(c)
+			return c
 		}
-		f.close(l) // an answer's second copy, or its end: nothing has been written yet
+		f.close(c) // an answer's second copy, or its end: nothing has been written yet
 	}
 	return nil
 }
 
 // notIdle takes a connection out of the order in which idle ones are closed.
-func (f *Front) notIdle(l *link) {
-	f.Deadlines.Clear(&l.Deadline)
-	if l.lru != nil {
-		f.idle.Remove(l.lru)
-		l.lru = nil
+func (f *Front) notIdle(c *connection) {
+	f.Deadlines.Clear(&c.Deadline)
+	if c.lru != nil {
+		f.idle.Remove(c.lru)
+		c.lru = nil
 	}
 }
 
 // open starts a connection, if need be in the place of one that is idle elsewhere.
-func (f *Front) open(m *member) *link {
-	if f.links+f.opener.GivenUp() >= f.cfg.MaxLinks && !f.makeRoom() {
+func (f *Front) open(m *member) *connection {
+	if f.connections+f.opener.GivenUp() >= f.cfg.MaxConnections && !f.makeRoom() {
 		f.Counters.NoRoom++
 		if now := f.clock.Now(); f.fullAt == 0 || now-f.fullAt >= tellFull {
 			f.fullAt = now
-			slog.Warn("no room for another database connection", "open", f.links, "given_up", f.opener.GivenUp())
+			slog.Warn("no room for another database connection", "open", f.connections, "given_up", f.opener.GivenUp())
 		}
 		return nil
 	}
-	f.links++
+	f.connections++
 	f.Counters.Opened++
-	l := &link{f: f, m: m}
-	m.links[l] = struct{}{}
-	l.conn = f.opener.Open(m.address, l)
-	f.Deadlines.Set(&l.Deadline, f.clock.Now()+f.cfg.ConnectTimeout, l.Down)
-	return l
+	c := &connection{f: f, m: m}
+	m.connections[c] = struct{}{}
+	c.conn = f.opener.Open(m.address, c)
+	f.Deadlines.Set(&c.Deadline, f.clock.Now()+f.cfg.ConnectTimeout, c.Down)
+	return c
 }
 
 // makeRoom closes the connection that has been idle for longest, whatever it was used for.
@@ -150,41 +150,41 @@
 	if oldest == nil {
 		return false
 	}
-	f.close(oldest.Value.(*link))
+	f.close(oldest.Value.(*connection))
 	return true
 }
 
 // write sends an attempt over a connection that is up.
-func (f *Front) write(l *link, a *attempt) {
-	f.Deadlines.Clear(&l.Deadline)
+func (f *Front) write(c *connection, a *attempt) {
+	f.Deadlines.Clear(&c.Deadline)
 	if a.by > 0 && f.clock.Now() > a.by {
-		l.attempt, a.link = nil, nil
-		f.rest(l)
+		c.attempt, a.connection = nil, nil
+		f.rest(c)
 		f.end(a, Reply{Result: logic.Moot})
 		return
 	}
-	l.state, l.attempt, a.link = linkBusy, a, l
-	if err := l.conn.Send(a.req.cmd, a.until-f.clock.Now()); err != nil {
-		f.drop(a, Reply{Result: logic.ConnectFailed})
+	c.state, c.attempt, a.connection = connectionBusy, a, c
+	if err := c.conn.Send(a.req.cmd, a.until-f.clock.Now()); err != nil {
+		f.abort(a, Reply{Result: logic.ConnectFailed})
 		return
 	}
 	a.sent = true
 }
 
 // close ends a connection and takes it out of all that it is in.
-func (f *Front) close(l *link) {
-	if l.state == linkClosed {
+func (f *Front) close(c *connection) {
+	if c.state == connectionClosed {
 		return
 	}
-	l.state = linkClosed
-	f.links--
-	f.notIdle(l)
-	l.conn.Close()
-	m := l.m
-	delete(m.links, l)
-	same := func(x *link) bool { return x == l }
+	c.state = connectionClosed
+	f.connections--
+	f.notIdle(c)
+	c.conn.Close()
+	m := c.m
+	delete(m.connections, c)
+	same := func(x *connection) bool { return x == c }
 	m.idle, m.opening = slices.DeleteFunc(m.idle, same), slices.DeleteFunc(m.opening, same)
-	if m.probe == l {
+	if m.probe == c {
 		m.probe = nil
 	}
 	f.forgetGone(m)
@@ -192,117 +192,117 @@
 
 // rest makes a connection that is up free for the next attempt. One that waits for a connection of its own to
 // come up takes it; the other is kept for the next.
-func (f *Front) rest(l *link) {
-	m := l.m
-	l.state = linkIdle
-	if m.state != logic.Ready || !l.conn.Quiet() {
-		f.close(l)
+func (f *Front) rest(c *connection) {
+	m := c.m
+	c.state = connectionIdle
+	if m.state != logic.Ready || !c.conn.Quiet() {
+		f.close(c)
 		return
 	}
-	if i := slices.IndexFunc(m.opening, func(x *link) bool { return x.attempt != nil }); i >= 0 {
+	if i := slices.IndexFunc(m.opening, func(x *connection) bool { return x.attempt != nil }); i >= 0 {
 		a := m.opening[i].attempt
 		m.opening[i].attempt = nil
-		f.write(l, a)
+		f.write(c, a)
 		return
 	}
-	m.idle = append(m.idle, l)
-	l.lru = f.idle.PushBack(l)
+	m.idle = append(m.idle, c)
+	c.lru = f.idle.PushBack(c)
 	if f.cfg.IdleClose > 0 {
-		f.Deadlines.Set(&l.Deadline, f.clock.Now()+time.Duration(idlePart*float64(f.cfg.IdleClose)), func() {
+		f.Deadlines.Set(&c.Deadline, f.clock.Now()+time.Duration(idlePart*float64(f.cfg.IdleClose)), func() {
 			f.Counters.ClosedIdle++
-			f.close(l)
+			f.close(c)
 		})
 	}
 }
 
 // Up implements Listener.
-func (l *link) Up() {
-	f := l.f
-	if l.state != linkOpening {
+func (c *connection) Up() {
+	f := c.f
+	if c.state != connectionOpening {
 		return
 	}
-	f.Deadlines.Clear(&l.Deadline)
-	if l.probing {
-		f.ask(l)
+	f.Deadlines.Clear(&c.Deadline)
+	if c.probing {
+		f.ask(c)
 		return
 	}
-	l.m.opening = slices.DeleteFunc(l.m.opening, func(x *link) bool { return x == l })
-	if a := l.attempt; a != nil {
-		f.write(l, a)
+	c.m.opening = slices.DeleteFunc(c.m.opening, func(x *connection) bool { return x == c })
+	if a := c.attempt; a != nil {
+		f.write(c, a)
 		return
 	}
-	f.rest(l)
+	f.rest(c)
 }
 
 // Reply implements Listener.
-func (l *link) Reply(r Reply) {
-	f := l.f
-	switch l.state {
-	case linkOpening: // it did not come up, and nothing was written
+func (c *connection) Reply(r Reply) {
+	f := c.f
+	switch c.state {
+	case connectionOpening: // it did not come up, and nothing was written
 		if r.Result != logic.Full {
 			r.Result = logic.ConnectFailed
 		}
-		l.fail(r)
+		c.fail(r)
 		return
-	case linkIdle, linkClosed: // what nobody asked for makes the next answer doubtful
-		l.Down()
+	case connectionIdle, connectionClosed: // what nobody asked for makes the next answer doubtful
+		c.Down()
 		return
 	}
-	if l.probing {
-		took := f.clock.Now() - l.asked
-		l.probing, l.m.probe = false, nil
-		f.rest(l)
-		f.probed(l.m, r, took)
+	if c.probing {
+		took := f.clock.Now() - c.asked
+		c.probing, c.m.probe = false, nil
+		f.rest(c)
+		f.probed(c.m, r, took)
 		return
 	}
-	a := l.attempt
-	l.attempt, a.link = nil, nil
-	f.rest(l)
+	a := c.attempt
+	c.attempt, a.connection = nil, nil
+	f.rest(c)
 	f.end(a, r)
 }
 
 // Down implements Listener. Whether the last byte was written tells a request that never ran from one that may
 // have. A kept connection may have ended before its probe, which then tells nothing of the member: it is asked again on
 // a new one.
-func (l *link) Down() {
-	if l.state == linkClosed {
+func (c *connection) Down() {
+	if c.state == connectionClosed {
 		return
 	}
-	if l.probing && l.kept && l.state == linkBusy && l.m.state == logic.Ready {
-		l.f.close(l)
-		l.f.openProbe(l.m)
+	if c.probing && c.kept && c.state == connectionBusy && c.m.state == logic.Ready {
+		c.f.close(c)
+		c.f.openProbe(c.m)
 		return
 	}
 	r := Reply{Result: logic.Reset}
-	if l.state == linkOpening {
+	if c.state == connectionOpening {
 		r.Result = logic.ConnectFailed
 	}
-	l.fail(r)
+	c.fail(r)
 }
 
 // Spoilt implements Listener. The request may have run; a probe has told nothing, but its member lives.
-func (l *link) Spoilt() {
+func (c *connection) Spoilt() {
 	r := Reply{Result: logic.Reset}
 	switch {
-	case l.state == linkClosed:
+	case c.state == connectionClosed:
 		return
-	case l.state == linkOpening:
+	case c.state == connectionOpening:
 		r.Result = logic.ConnectFailed
-	case l.probing:
+	case c.probing:
 		r.Result = logic.Failed
 	}
-	l.fail(r)
+	c.fail(r)
 }
 
 // fail ends a connection and what is out on it.
-func (l *link) fail(r Reply) {
-	a := l.attempt
-	l.f.close(l)
+func (c *connection) fail(r Reply) {
+	a := c.attempt
+	c.f.close(c)
 	switch {
 	case a != nil:
-		l.f.end(a, r)
-	case l.probing:
-		l.f.probed(l.m, r, 0)
+		c.f.end(a, r)
+	case c.probing:
+		c.f.probed(c.m, r, 0)
 	}
 }
 
@@ -315,9 +315,9 @@
 		return
 	}
 	f.Counters.Probes++
-	if l := f.takeIdle(m); l != nil {
-		l.probing, l.kept, m.probe = true, true, l
-		f.ask(l)
+	if c := f.takeIdle(m); c != nil {
+		c.probing, c.kept, m.probe = true, true, c
+		f.ask(c)
 		return
 	}
 	f.openProbe(m)
@@ -325,12 +325,12 @@
 
 // openProbe opens a connection whose first command is a probe.
 func (f *Front) openProbe(m *member) {
-	l := f.open(m)
-	if l == nil {
+	c := f.open(m)
+	if c == nil {
 		f.notProbed(m.id)
 		return
 	}
-	l.probing, l.kept, m.probe = true, false, l
+	c.probing, c.kept, m.probe = true, false, c
 }
 
 // notProbed tells that no probe went out; that says nothing of the member.
@@ -338,11 +338,11 @@
 	f.tell(func() { f.router.Probed(f.clock.Now(), logic.Probed{Member: to, Result: logic.Moot}) })
 }
 
-func (f *Front) ask(l *link) {
-	l.state, l.asked = linkBusy, f.clock.Now()
-	f.Deadlines.Set(&l.Deadline, l.asked+probeTimeout, func() { l.fail(Reply{Result: logic.TimedOut}) })
-	if err := l.conn.Probe(); err != nil {
-		l.fail(Reply{Result: logic.ConnectFailed})
+func (f *Front) ask(c *connection) {
+	c.state, c.asked = connectionBusy, f.clock.Now()
+	f.Deadlines.Set(&c.Deadline, c.asked+probeTimeout, func() { c.fail(Reply{Result: logic.TimedOut}) })
+	if err := c.conn.Probe(); err != nil {
+		c.fail(Reply{Result: logic.ConnectFailed})
 	}
 }
 
--- a/internal/state/front.go
+++ b/internal/state/front.go
@@ -58,10 +58,10 @@
 	Zones          []string
 	IdleClose      time.Duration // a database closes a connection that has been idle for so long
 	ConnectTimeout time.Duration
-	MaxLinks       int // connections to databases that may be open
+	MaxConnections int // connections to databases that may be open
 }
 
-// Front stands between callers, databases and the router. All calls must come from one goroutine.
+// Front is the dispatcher between clients, databases and the router. All calls must come from one goroutine.
 type Front struct {
 	Counters  Counters
 	Deadlines Deadlines
@@ -84,7 +84,7 @@
 
 	names       map[string]*member
 	members     map[logic.MemberID]*member
-	links       int
+	connections int
 	idle        list.List     // connections, idle for longest first
 	fullAt      time.Duration // when it was last told that there is no room for another
 	listFailing bool
@@ -107,14 +107,14 @@
 
 type attempt struct {
 	Deadline
-	req    *request
-	n      int
-	to     *member
-	until  time.Duration
-	by     time.Duration // it is not written later; 0 = at any time
-	sentAt time.Duration
-	link   *link
-	sent   bool // its last byte was written
+	req        *request
+	n          int
+	to         *member
+	until      time.Duration
+	by         time.Duration // it is not written later; 0 = at any time
+	sentAt     time.Duration
+	connection *connection
+	sent       bool // its last byte was written
 }
 
 // New makes a front. The watcher is set with Start.
@@ -155,8 +155,8 @@
 // Pending tells how many requests wait for their answer.
 func (f *Front) Pending() int { return len(f.requests) }
 
-// Links tells how many connections to databases are counted as open.
-func (f *Front) Links() int { return f.links }
+// Connections tells how many connections to databases are counted as open.
+func (f *Front) Connections() int { return f.connections }
 
 // End tells that the proxy ends at a time: what is open, and what is taken from now on, has its answer by then, however
 // long its client would wait.
@@ -232,7 +232,7 @@
 		f.forget(q)
 	})
 	if q.open != nil {
-		f.withhold(q.open)
+		f.cancelUnsent(q.open)
 	}
 }
 
@@ -294,31 +294,31 @@
 // Cancel implements logic.Actions: closing its connection calls an attempt off.
 func (f *Front) Cancel(id logic.RequestID, n int) {
 	if q := f.requests[id]; q != nil && q.open != nil && q.open.n == n {
-		f.drop(q.open, Reply{Result: logic.Cancelled})
+		f.abort(q.open, Reply{Result: logic.Cancelled})
 	}
 }
 
 // expire ends an attempt whose time is up. One that was never written has found no connection.
 func (f *Front) expire(a *attempt) {
 	if a.sent {
-		f.drop(a, Reply{Result: logic.TimedOut})
+		f.abort(a, Reply{Result: logic.TimedOut})
 	} else {
-		f.drop(a, Reply{Result: logic.ConnectFailed})
+		f.abort(a, Reply{Result: logic.ConnectFailed})
 	}
 }
 
-// drop ends an attempt that got no answer: whatever still comes on its connection is nobody's.
-func (f *Front) drop(a *attempt, r Reply) {
-	if l := a.link; l != nil {
+// abort ends an attempt that got no answer: whatever still comes on its connection is nobody's.
+func (f *Front) abort(a *attempt, r Reply) {
+	if l := a.connection; l != nil {
 		f.close(l)
 	}
 	f.end(a, r)
 }
 
-// withhold ends an attempt that waits for a connection to come up: nothing has been sent, and nothing is to be.
-func (f *Front) withhold(a *attempt) {
+// cancelUnsent ends an attempt that waits for a connection to come up: nothing has been sent, and nothing is to be.
+func (f *Front) cancelUnsent(a *attempt) {
 	if !a.sent {
-		f.drop(a, Reply{Result: logic.Moot})
+		f.abort(a, Reply{Result: logic.Moot})
 	}
 }
 
@@ -330,9 +330,9 @@
 	}
 	f.Deadlines.Clear(&a.Deadline)
 	q.open = nil
-	if a.link != nil {
-		a.link.attempt = nil
-		a.link = nil
+	if a.connection != nil {
+		a.connection.attempt = nil
+		a.connection = nil
 	}
 	f.Counters.end(r.Result)
 	a.to.heard(r, false)
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -38,10 +38,10 @@
 	role   logic.Role // as it last told
 	silent bool       // its last probe had no answer
 
-	idle    []*link // the one used last at the end
-	opening []*link // those that a request was to go out on
-	links   map[*link]struct{}
-	probe   *link // the one that a probe is out on, or waits for
+	idle        []*connection // the one used last at the end
+	opening     []*connection // those that a request was to go out on
+	connections map[*connection]struct{}
+	probe       *connection // the one that a probe is out on, or waits for
 }
 
 // changeLines is how many changed databases of one list have a line of their own in the log.
@@ -95,7 +95,7 @@
 		slog.Info("discovery answers again")
 	}
 	f.tell(func() { f.router.Members(f.clock.Now(), out) })
-	f.withholdAll(f.changes.left)
+	f.cancelUnsentAtMembers(f.changes.left)
 }
 
 // ListFailed tells that a call failed or that a watch broke; the list in hand still holds.
@@ -112,7 +112,7 @@
 func (f *Front) member(e Entry) *member {
 	m := f.names[e.Name]
 	if m == nil {
-		m = &member{id: f.memberID(e.Name), name: e.Name, state: e.State, links: map[*link]struct{}{}}
+		m = &member{id: f.memberID(e.Name), name: e.Name, state: e.State, connections: map[*connection]struct{}{}}
 		f.names[e.Name], f.members[m.id] = m, m
 		f.changes.joined++
 	}
@@ -152,9 +152,9 @@
 	f.forgetGone(m)
 }
 
-// withholdAll ends the attempts that wait for a connection to members that take nothing new any more: coming up later, it
+// cancelUnsentAtMembers ends the attempts that wait for a connection to members that take nothing new any more: coming up later, it
 // would carry them there after the time that a drain grants. The router knows the news by then and sends them elsewhere.
-func (f *Front) withholdAll(left []*member) {
+func (f *Front) cancelUnsentAtMembers(left []*member) {
 	slices.SortFunc(left, func(a, b *member) int { return strings.Compare(a.name, b.name) })
 	for _, m := range left {
 		if m.state == logic.Ready || m.state == logic.Gone && f.cfg.Logic.DrainOnly {
@@ -162,7 +162,7 @@
 		}
 		for _, l := range slices.Clone(m.opening) {
 			if l.attempt != nil {
-				f.withhold(l.attempt)
+				f.cancelUnsent(l.attempt)
 			}
 		}
 	}
@@ -171,7 +171,7 @@
 // forgetGone drops a member that is gone, once no connection to it is left: databases come and go under new names
 // all day. Where the list binds no one, only a whole list that leaves it out tells that it won't be sent to again.
 func (f *Front) forgetGone(m *member) {
-	if m.state == logic.Gone && (!m.seen || !f.cfg.Logic.DrainOnly) && len(m.links) == 0 &&
+	if m.state == logic.Gone && (!m.seen || !f.cfg.Logic.DrainOnly) && len(m.connections) == 0 &&
 		f.names[m.name] == m {
 		delete(f.names, m.name)
 		delete(f.members, m.id)
--- a/internal/state/scale_test.go
+++ b/internal/state/scale_test.go
@@ -26,7 +26,7 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	f, err := New(Config{Logic: logic.Config{Tick: 5 * time.Millisecond, Fronts: 300, MayProbe: true,
 		Classes: []logic.Class{{Name: "any", Read: logic.Any, Aim: time.Second, Limit: 2 * time.Second}}},
-		ConnectTimeout: 250 * time.Millisecond, MaxLinks: 400}, NewClock(), idleOpener{})
+		ConnectTimeout: 250 * time.Millisecond, MaxConnections: 400}, NewClock(), idleOpener{})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -94,14 +94,14 @@
 	}
 }
 
-func newBench(t *testing.T, links int) *bench {
+func newBench(t *testing.T, connections int) *bench {
 	b := &bench{t: t, now: clockBase}
 	class := func(name string, read logic.Freshness) logic.Class {
 		return logic.Class{Name: name, Read: read, MaxAge: time.Second, Aim: time.Second, Limit: 2 * time.Second}
 	}
 	f, err := New(Config{Logic: logic.Config{Tick: time.Millisecond, Classes: []logic.Class{class("any", logic.Any),
 		class("session", logic.Session)}}, Zones: []string{"x", "y"}, IdleClose: 10 * time.Second,
-		ConnectTimeout: 250 * time.Millisecond, MaxLinks: links}, b, b)
+		ConnectTimeout: 250 * time.Millisecond, MaxConnections: connections}, b, b)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -270,8 +270,8 @@
 		b.take(&caller{})
 		b.conns[len(b.conns)-1].to.Down()
 	}
-	if len(b.conns) != 9 || b.f.links != 0 {
-		t.Errorf("%d connections opened, %d counted", len(b.conns), b.f.links)
+	if len(b.conns) != 9 || b.f.connections != 0 {
+		t.Errorf("%d connections opened, %d counted", len(b.conns), b.f.connections)
 	}
 	b.givenUp = 1
 	if b.take(&caller{}); len(b.conns) != 9 {
