--- a/cmd/havenproxy/large_fleet_test.go
+++ b/cmd/havenproxy/large_fleet_test.go
@@ -98,34 +98,34 @@
 	return float64(served) / float64(a.asked)
 }
 
-func TestLargeFleetIsServedFromTheStart(t *testing.T) {
+// startLargeFleet starts the most databases that a deployment has, discovery, and makes the options of a proxy before them.
+func startLargeFleet(t *testing.T, sockets int) (*databaseFleet, *discoveryService, proxyOptions) {
+	t.Helper()
 	fleet := startDatabases(t, manyDatabases, 20*time.Millisecond)
 	service := startDiscovery(t, fleet)
 	known, _ := service.list(-1)
-	p := startProxy(t, proxyOptions{known: known, discovery: service.address, fleetSize: manyProxies, sockets: fewSockets})
-	requests := newAsker(p)
+	return fleet, service, proxyOptions{known: known, discovery: service.address, fleetSize: manyProxies, sockets: sockets}
+}
+
+func TestLargeFleetIsServedFromTheStart(t *testing.T) {
+	_, _, options := startLargeFleet(t, fewSockets)
+	requests := newAsker(startProxy(t, options))
 	requests.run(3*time.Second, 20*time.Millisecond, 100)
 	requests.check(t)
 }
 
 func TestStartOnAPartOfACoreLosesNoRequest(t *testing.T) {
-	fleet := startDatabases(t, manyDatabases, 20*time.Millisecond)
-	service := startDiscovery(t, fleet)
-	known, _ := service.list(-1)
-	p := startProxy(t, proxyOptions{known: known, discovery: service.address, fleetSize: manyProxies, sockets: manySockets,
-		cpuShare: partOfACore})
-	requests := newAsker(p)
+	_, _, options := startLargeFleet(t, manySockets)
+	options.cpuShare = partOfACore
+	requests := newAsker(startProxy(t, options))
 	requests.run(3*time.Second, 50*time.Millisecond, 100)
 	requests.check(t)
 }
 
 func TestStartDialsOnlyGroupsThatAreAskedFor(t *testing.T) {
 	const asked = 3 // groups
-	fleet := startDatabases(t, manyDatabases, time.Millisecond)
-	service := startDiscovery(t, fleet)
-	known, _ := service.list(-1)
-	p := startProxy(t, proxyOptions{known: known, discovery: service.address, fleetSize: manyProxies, sockets: fewSockets})
-	requests := newAsker(p)
+	fleet, _, options := startLargeFleet(t, fewSockets)
+	requests := newAsker(startProxy(t, options))
 	requests.run(time.Second, 50*time.Millisecond, asked)
 	requests.check(t)
 	if dialled := fleet.accepted(func(s *databaseServer) bool { return s.group >= asked }); dialled > 0 {
@@ -134,11 +134,8 @@
 }
 
 func TestLargeFleetsProxyIsReplacedWithoutLoss(t *testing.T) {
-	fleet := startDatabases(t, manyDatabases, 20*time.Millisecond)
-	service := startDiscovery(t, fleet)
-	known, _ := service.list(-1)
-	options := proxyOptions{known: known, discovery: service.address, fleetSize: manyProxies, sockets: fewSockets,
-		cpuShare: partOfACore}
+	_, _, options := startLargeFleet(t, fewSockets)
+	options.cpuShare = partOfACore
 	first := startProxy(t, options)
 	requests := newAsker(first)
 	requests.resend = true
@@ -157,12 +154,10 @@
 }
 
 func TestLargeFleetDrainsInTime(t *testing.T) {
-	for name, options := range map[string]proxyOptions{"on a core": {}, "on a part of a core": {cpuShare: partOfACore}} {
+	for name, cpuShare := range map[string]float64{"on a core": 0, "on a part of a core": partOfACore} {
 		t.Run(name, func(t *testing.T) {
-			fleet := startDatabases(t, manyDatabases, 20*time.Millisecond)
-			service := startDiscovery(t, fleet)
-			options.known, _ = service.list(-1)
-			options.discovery, options.fleetSize, options.sockets = service.address, manyProxies, manySockets
+			fleet, service, options := startLargeFleet(t, manySockets)
+			options.cpuShare = cpuShare
 			// The first part drains before the proxy starts, which the agent tells it from its first moment.
 			old, later := fleet.every(3, 1), fleet.every(3, 2)
 			service.set(discovery.Terminating, old...)
@@ -184,13 +179,12 @@
 }
 
 func TestSecondConfigurationsListIsHeededInTime(t *testing.T) {
-	fleet := startDatabases(t, manyDatabases, 20*time.Millisecond)
-	first, second := startDiscovery(t, fleet), startDiscovery(t, fleet)
-	known, _ := first.list(-1)
+	fleet, _, options := startLargeFleet(t, fewSockets)
+	options.cpuShare = partOfACore
+	second := startDiscovery(t, fleet)
 	drained := fleet.every(3, 1)
 	second.set(discovery.Terminating, drained...)
-	p := startProxy(t, proxyOptions{known: known, discovery: first.address, fleetSize: manyProxies, sockets: fewSockets,
-		cpuShare: partOfACore})
+	p := startProxy(t, options)
 	p.awaitReady(t, 10*time.Second)
 	p.reload(t, second.address)
 	told := time.Now().Add(4 * time.Second) // what discovery has counts as told so long after the signal
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -152,8 +152,9 @@
 	f.forgetGone(m)
 }
 
-// cancelUnsentAtMembers ends the attempts that wait for a connection to members that take nothing new any more: coming up later, it
-// would carry them there after the time that a drain grants. The router knows the news by then and sends them elsewhere.
+// cancelUnsentAtMembers ends the attempts that wait for a connection to members that take nothing new any more: coming
+// up later, it would carry them there after the time that a drain grants. The router knows the news by then and sends
+// them elsewhere.
 func (f *Front) cancelUnsentAtMembers(left []*member) {
 	slices.SortFunc(left, func(a, b *member) int { return strings.Compare(a.name, b.name) })
 	for _, m := range left {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -600,11 +600,17 @@
 	}
 }
 
+// probeOnNewConnection probes a member that has no connection yet, and answers.
+func (b *bench) probeOnNewConnection(name string) {
+	b.f.Probe(b.id(name))
+	c := b.conns[len(b.conns)-1]
+	c.to.Up()
+	c.to.Reply(Reply{Result: logic.OK})
+}
+
 func TestProbeConnectionsMakeRoomForRequests(t *testing.T) {
 	b := newBench(t, 1)
-	b.f.Probe(b.id("two"))
-	b.conns[0].to.Up()
-	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	b.probeOnNewConnection("two")
 	b.take(&caller{})
 	if b.f.Counters.NoRoom != 0 || len(b.conns) != 2 || !b.conns[0].closed {
 		t.Errorf("%d times no room, %d connections made", b.f.Counters.NoRoom, len(b.conns))
@@ -613,9 +619,7 @@
 
 func TestRequestGoesOutOnTheProbesConnection(t *testing.T) {
 	b := newBench(t, 9)
-	b.f.Probe(b.id("one"))
-	b.conns[0].to.Up()
-	b.conns[0].to.Reply(Reply{Result: logic.OK})
+	b.probeOnNewConnection("one")
 	b.take(&caller{})
 	if len(b.conns) != 1 || b.conns[0].sent != 1 {
 		t.Errorf("%d connections made, %d requests on the first", len(b.conns), b.conns[0].sent)
