--- a/review/stand/stands.go
+++ b/review/stand/stands.go
@@ -46,12 +46,12 @@
 	primary bool
 	address string
 
-	work       func(s statement) time.Duration            // how long a request works
-	value      func(s statement) string                   // the value made for a request
-	onAccept   func(c *storeConn)                         // before the greeting is sent
-	onRequest  func(c *storeConn, s statement) (end bool) // before the request runs; true ends the connection without an answer
-	onAnswered func(c *storeConn, answer []byte)
-	idleClose  time.Duration // closes a connection that is idle for so long; 0 = never
+	work       func(s statement) time.Duration                // how long a request works
+	value      func(s statement) string                       // the value made for a request
+	onAccept   func(c *storeConn)                             // before the greeting is sent
+	onRequest  func(c *storeConn, s statement) (end bool)     // before the request runs; true ends the connection without an answer
+	onAnswered func(c *storeConn, s statement, answer []byte) // after the answer is written
+	idleClose  time.Duration                                  // closes a connection that is idle for so long; 0 = never
 
 	mu          sync.Mutex
 	connections int
@@ -148,7 +148,7 @@
 			return
 		}
 		if ok && s.onAnswered != nil {
-			s.onAnswered(c, answer)
+			s.onAnswered(c, st, answer)
 		}
 	}
 }
