--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
 [ -x "$root/bin/havenproxy" ] && [ -x "$here/../bin/stand" ] || { echo "not built"; exit 2; }
-exec "$here/../bin/stand" copies "$root" "$here/record.txt"
+exec "$here/../bin/stand" endless "$root" "$here/record.txt"
--- a/review/stand/pipeline.go
+++ b/review/stand/pipeline.go
@@ -13,6 +13,7 @@
 	valueSize   = 64 << 10              // "values of at most 64 KiB"
 	commands    = 24                    // sent at once, or with TROUBLE=0 one after another
 	handlingFor = 10 * time.Millisecond // what the client takes for each answer before it reads the next
+	smallValue  = 100                   // size of the values of other cases, in bytes
 )
 
 // plainStores starts a group of n stores that follow the pages and have no fault. The first is the primary.
--- a/review/stand/stands.go
+++ b/review/stand/stands.go
@@ -102,6 +102,11 @@
 		s.onAccept(c)
 	}
 	c.Write(greeting())
+	s.serveRest(c)
+}
+
+// serveRest serves the requests on a connection that has been greeted.
+func (s *store) serveRest(c *storeConn) {
 	for {
 		if s.idleClose > 0 {
 			c.SetReadDeadline(time.Now().Add(s.idleClose))
@@ -279,6 +284,9 @@
 	}
 	defer log.Close()
 	p.cmd = exec.Command("/bin/sh", "-c", command)
+	if core := os.Getenv("CORE"); core != "" {
+		p.cmd = exec.Command("taskset", "-c", core, "/bin/sh", "-c", command)
+	}
 	p.cmd.Dir = root
 	p.cmd.Env = append(os.Environ(), "EDGE_NAME=n0", "EDGE_LISTEN="+p.address, "EDGE_DISCOVERY="+d.address,
 		"EDGE_CONFIG="+path, "TMPDIR="+folder)
--- a/review/stand/window.go
+++ b/review/stand/window.go
@@ -16,7 +16,7 @@
 	resetAfter   = 1400 * time.Millisecond // a request's connection is reset so long after its arrival
 	lateBy       = 200 * time.Millisecond  // a late connection comes up after this time
 	earlyClose   = 20 * time.Millisecond   // idle connections are closed after this time
-	writes       = 24
+	writes       = 48
 	hitOneIn     = 6 // the connection under one write in so many is reset
 	hitPrefix    = "hit"
 )
