--- a/review/stand/pipeline.go
+++ b/review/stand/pipeline.go
@@ -10,9 +10,10 @@
 func init() { cases["pipeline"] = playPipeline }
 
 const (
-	valueSize   = 64 << 10              // "values of at most 64 KiB"
+	valueSize   = 64 << 10 // "values of at most 64 KiB"
+	rounds      = 6
 	commands    = 24                    // sent at once, or with TROUBLE=0 one after another
-	handlingFor = 10 * time.Millisecond // what the client takes for each answer before it reads the next
+	handlingFor = 20 * time.Millisecond // what the client takes for each answer before it reads the next
 	smallValue  = 100                   // size of the values of other cases, in bytes
 )
 
@@ -90,7 +91,7 @@
 			}
 		}
 	}()
-	for round := 0; round < 5 && !p.hasExited(); round++ {
+	for round := 0; round < rounds && !p.hasExited(); round++ {
 		c, err := dial(p.address)
 		if err != nil {
 			return false, err
