--- a/review/stand/endless.go
+++ b/review/stand/endless.go
@@ -13,8 +13,8 @@
 const (
 	memoryLimitMB   = 64 // limits.memory_mb of the proxy
 	memorySampling  = 10 * time.Millisecond
-	spoiltStore     = 3               // the index of the store that begins an answer that never ends
-	spoiltFrom      = 60              // the number of the request whose answer that is
+	firstSpoilt     = 3               // the index of the first store that begins an answer that never ends; the later ones do it too
+	spoiltFrom      = 60              // the number of the request whose answer that is, at each of these stores
 	noticesPerWrite = 64 << 10        // bytes
 	endlessFor      = 5 * time.Second // the store gives the answer up after this time
 	endlessBytes    = 3 << 30         // or after so many bytes
@@ -27,7 +27,7 @@
 	leastInTime     = 20 // fewer answers in time: the case could not run
 )
 
-// endlessAnswer has one store begin one answer that never ends: notices, one after the other.
+// endlessAnswer has a store begin one answer that never ends: notices, one after the other.
 type endlessAnswer struct {
 	rec *record
 
@@ -77,14 +77,16 @@
 	return 0
 }
 
-// playEndless has clients read while one store sends one answer that never ends.
+// playEndless has clients read while some stores send one answer each that never ends.
 func playEndless(root string, trouble bool, rec *record) (bool, error) {
 	stores, err := plainStores(6, smallValue, 10*time.Millisecond)
 	if err != nil {
 		return false, err
 	}
-	if spoiler := (&endlessAnswer{rec: rec}); trouble {
-		stores[spoiltStore].onRequest = spoiler.request
+	for _, s := range stores[firstSpoilt:] {
+		if spoiler := (&endlessAnswer{rec: rec}); trouble {
+			s.onRequest = spoiler.request
+		}
 	}
 	d, err := startDiscovery(stores)
 	if err != nil {
