--- a/review/standin-2/case8.go
+++ b/review/standin-2/case8.go
@@ -30,9 +30,9 @@
 	}
 	l.startProxy(cairoClasses, nil)
 	g := &load{lab: l, rate: 200, classes: cairoClasses, groups: 2, shares: cairoShares, patience: time.Second}
-	end := time.Now().Add(33 * time.Second)
+	end := time.Now().Add(48 * time.Second)
 	if l.trouble {
-		for n := range 16 {
+		for n := range 24 {
 			go l.hundredsOfWrites(n, 3*time.Second, end)
 		}
 	}
@@ -44,7 +44,7 @@
 			}
 		}
 	}()
-	g.run(30 * time.Second)
+	g.run(45 * time.Second)
 	rss, peak := l.memory()
 	l.finish(peak > case8MemoryMB<<10, "the proxy holds %d KiB, %d KiB at most, its limit is %d KiB", rss, peak, case8MemoryMB<<10)
 }
