--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -205,9 +205,11 @@
 	return ""
 }
 
-// freeAddress returns a loopback address that nothing uses now.
+// freeAddress returns a loopback address that nothing uses now. Its IP address is this process's own, so that nobody else
+// takes the port before the proxy does.
 func freeAddress(l *lab) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 100+pid>>16&63, pid>>8&255, 1+pid&127))
 	if err != nil {
 		l.cannotRun("%v", err)
 	}
