Review stand-ins: one end for a run, and the memory watcher keeps the process id

Cause: in the cases 8 and 10 the watcher of the memory could read the proxy's process while the run was ending; a nil pointer there would have given exit code 2. Found by reading, not seen in a run. Change: review/standin-2/lab.go and case8.go: the process id is kept, and only one ends a run.

--- a/review/standin-2/case8.go
+++ b/review/standin-2/case8.go
@@ -54,7 +54,7 @@
 
 // memory returns the resident memory of the proxy's process in KiB, now and at most.
 func (l *lab) memory() (now, peak int) {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", l.proxy.Process.Pid))
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", l.pid))
 	for _, line := range strings.Split(string(text), "\n") {
 		fmt.Sscanf(line, "VmRSS: %d", &now)
 		fmt.Sscanf(line, "VmHWM: %d", &peak)
--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -30,7 +30,9 @@
 	listen            string
 	command           string
 	env               []string
-	memoryMB, sockets int // the limits of the proxy
+	memoryMB, sockets int        // the limits of the proxy
+	pid               int        // of the proxy's process
+	ending            sync.Mutex // held by the one that ends the run, for good
 
 	mu       sync.Mutex
 	out      *os.File
@@ -67,6 +69,7 @@
 
 // cannotRun ends the run with exit code 2.
 func (l *lab) cannotRun(format string, args ...any) {
+	l.ending.Lock()
 	l.record("cannot run: "+format, args...)
 	fmt.Printf("cannot run: "+format+"\n", args...)
 	l.stopProxy()
@@ -75,6 +78,7 @@
 
 // finish ends the run with the verdict.
 func (l *lab) finish(broken bool, format string, args ...any) {
+	l.ending.Lock()
 	l.stopProxy()
 	verdict := "held: "
 	if broken {
@@ -168,7 +172,8 @@
 		l.cannotRun("the proxy does not start: %v", err)
 	}
 	l.exited = make(chan error, 1)
-	os.WriteFile(filepath.Join(l.dir, "pid"), []byte(strconv.Itoa(l.proxy.Process.Pid)), 0o644)
+	l.pid = l.proxy.Process.Pid
+	os.WriteFile(filepath.Join(l.dir, "pid"), []byte(strconv.Itoa(l.pid)), 0o644)
 	proxy, exited := l.proxy, l.exited
 	go func() { exited <- proxy.Wait() }()
 }
