Skip processed input instead of moving the rest for each message

Cause: an input buffer moved what was left in it to its front with each discard. A client whose queries wait in a full buffer has them taken out one by one, so the work grew with the square of what it sent.

The piecewise growth of one message was no fault.

Change: the buffer skips processed bytes and moves the rest only when its storage is full and enough of it is skipped.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -86,7 +86,7 @@
 		blocked := !c.canSubmit()
 		n, err := 0, error(nil)
 		if !blocked {
-			n, err = c.handleMessage(c.input.bytes[used:])
+			n, err = c.handleMessage(c.input.unprocessed()[used:])
 			used += n
 		}
 		if err != nil {
@@ -99,13 +99,13 @@
 		c.input.discard(used)
 		c.setBlocked(blocked)
 		c.updateQueryTimer(used > 0)
-		if c.accountBuffer(); blocked || !c.server.inputFull() || len(c.input.bytes) <= maxIdleBufferBytes {
+		if c.accountBuffer(); blocked || !c.server.inputFull() || c.input.size() <= maxIdleBufferBytes {
 			return
 		}
 		c.server.dispatcher.Counters.ClientsRejected++ // the partial query has not been accepted as a request
 		c.closeWithError(pg.CodeTooManyConnections, "no memory for a query of this size now")
 	}
-	c.input.discard(len(c.input.bytes)) // input after the final response is ignored
+	c.input.discard(c.input.size()) // input after the final response is ignored
 	c.accountBuffer()
 }
 
@@ -115,7 +115,7 @@
 	if !c.hasQueried {
 		return // the timeout for the first query, set on accept, still runs
 	}
-	partialQuery := len(c.input.bytes) > 0 && !c.blocked
+	partialQuery := c.input.size() > 0 && !c.blocked
 	switch {
 	case partialQuery && (newQuery || !c.partialQuery):
 		c.server.deadlines.Set(&c.timer, c.server.clock.Now()+queryTimeout, c.queryTimedOut)
@@ -144,7 +144,7 @@
 	case c.connState >= stateClosing:
 	case !c.hasQueried:
 		to = &c.server.silent
-	case len(c.responses) == 0 && len(c.input.bytes) == 0 && c.socket.unsent == 0:
+	case len(c.responses) == 0 && c.input.size() == 0 && c.socket.unsent == 0:
 		to = &c.server.idle
 	}
 	if to == c.evictionList {
@@ -342,7 +342,7 @@
 // unless allowPartial is set, once the client has had its time to send the rest.
 func (c *client) closeIfIdle(allowPartial bool) {
 	if c.connState < stateClosing && len(c.responses) == 0 && c.socket.unsent == 0 &&
-		(allowPartial || len(c.input.bytes) == 0) && c.allInputSeen() {
+		(allowPartial || c.input.size() == 0) && c.allInputSeen() {
 		c.closeGracefully()
 	}
 }
@@ -359,7 +359,7 @@
 	}
 	c.connState = stateClosing
 	c.setBlocked(false)
-	c.input.discard(len(c.input.bytes))
+	c.input.discard(c.input.size())
 	c.accountBuffer()
 	if c.socket.unsent == 0 {
 		c.shutDownWrite()
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -146,7 +146,7 @@
 // Reusable implements state.Conn. Responses carry no identifier: anything that arrives while no query is pending,
 // even if it is still in the kernel's buffer, would be mistaken for the response to the next query.
 func (db *databaseConn) Reusable() bool {
-	return !db.awaitingResponse && db.Written() && len(db.input.bytes) == 0 && db.socket.allInputRead()
+	return !db.awaitingResponse && db.Written() && db.input.size() == 0 && db.socket.allInputRead()
 }
 
 // Close implements state.Conn.
@@ -184,7 +184,7 @@
 		return
 	}
 	for used := 0; !db.closed; {
-		m, n, err := pg.Next(db.input.bytes[used:])
+		m, n, err := pg.Next(db.input.unprocessed()[used:])
 		switch {
 		case err != nil:
 		case n > 0 && !db.awaitingResponse:
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"havenproxy/internal/state"
-	"havenproxy/internal/wire/pg"
 )
 
 // readBufferBytes is how much the loop reads from one socket at a time: one that always has input can't keep the loop
@@ -145,78 +144,3 @@
 
 // Stop ends Run. It must be called on the loop.
 func (l *Loop) Stop() { l.stopped = true }
-
-// buffer is the input buffer of a connection. It grows as needed; bytes that remain after a discard move to its front.
-// Large ones are taken from the loop's spare buffers and returned to them, as many are needed in a burst, each for a
-// moment.
-type buffer struct {
-	bytes []byte
-	loop  *Loop
-}
-
-const (
-	// maxIdleBufferBytes is the capacity of the largest buffer that a connection keeps while it is empty.
-	maxIdleBufferBytes = 16 << 10
-	// largeBufferBytes is the capacity of a large buffer: for the largest message and what is read with its end.
-	largeBufferBytes = pg.MaxMessage + readBufferBytes
-	maxSpareBuffers  = 8
-)
-
-// append adds input to the buffer.
-func (b *buffer) append(in []byte) {
-	if need := len(b.bytes) + len(in); need > cap(b.bytes) && need > 2*maxIdleBufferBytes {
-		b.replace(b.loop.takeLargeBuffer())
-	}
-	b.bytes = append(b.bytes, in...)
-}
-
-// replace moves the input to another, empty buffer.
-func (b *buffer) replace(by []byte) {
-	old := b.bytes
-	b.bytes = append(by, old...)
-	b.loop.returnLargeBuffer(old)
-}
-
-// held returns the memory that unprocessed input takes, in bytes.
-func (b *buffer) held() int {
-	if len(b.bytes) == 0 {
-		return 0
-	}
-	return cap(b.bytes)
-}
-
-// discard drops the first n bytes.
-func (b *buffer) discard(n int) {
-	left := copy(b.bytes, b.bytes[n:])
-	b.bytes = b.bytes[:left]
-	switch {
-	case left == 0 && cap(b.bytes) > maxIdleBufferBytes:
-		b.free()
-	case left <= maxIdleBufferBytes && cap(b.bytes) >= largeBufferBytes:
-		b.replace(nil)
-	}
-}
-
-// free drops all input and the memory for it.
-func (b *buffer) free() {
-	b.loop.returnLargeBuffer(b.bytes)
-	b.bytes = nil
-}
-
-// takeLargeBuffer returns an empty buffer of at least largeBufferBytes.
-func (l *Loop) takeLargeBuffer() []byte {
-	last := len(l.spareBuffers) - 1
-	if last < 0 {
-		return make([]byte, 0, largeBufferBytes)
-	}
-	spare := l.spareBuffers[last]
-	l.spareBuffers = l.spareBuffers[:last]
-	return spare
-}
-
-// returnLargeBuffer keeps a large buffer that is no longer used, up to maxSpareBuffers.
-func (l *Loop) returnLargeBuffer(b []byte) {
-	if cap(b) >= largeBufferBytes && len(l.spareBuffers) < maxSpareBuffers {
-		l.spareBuffers = append(l.spareBuffers, b[:0])
-	}
-}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -600,7 +600,7 @@
 		got := make(chan bool)
 		loop.Post(func() {
 			for c := range s.clients {
-				seen = len(c.input.bytes) == len(partial)
+				seen = c.input.size() == len(partial)
 			}
 			got <- seen
 		})
@@ -718,9 +718,9 @@
 // Queries left in the buffer of a client whose connection has closed are not accepted.
 func TestNoQueryIsAcceptedFromClosedClient(t *testing.T) {
 	server, dispatcher, _ := startProxy(t, "127.0.0.1:1", 8, 1)
-	c := &client{server: server, connState: stateClosed, input: buffer{bytes: pg.AppendQuery(nil, queryText("a")), loop: server.loop}}
-	if c.processInput(); dispatcher.Counters.Accepted != 0 || len(c.input.bytes) != 0 {
-		t.Errorf("%d requests accepted, %d bytes left", dispatcher.Counters.Accepted, len(c.input.bytes))
+	c := &client{server: server, connState: stateClosed, input: buffer{storage: pg.AppendQuery(nil, queryText("a")), loop: server.loop}}
+	if c.processInput(); dispatcher.Counters.Accepted != 0 || c.input.size() != 0 {
+		t.Errorf("%d requests accepted, %d bytes left", dispatcher.Counters.Accepted, c.input.size())
 	}
 }
 
