Handle at most four messages of a client in one wake, and send their responses together

What callers saw: a client that sent small queries at full speed held up the others for as long as its input lasted: one wake handled all 32 KiB that it read, up to 5,461 empty queries with a write(2) each.

Cause: client.processInput went on until the buffer was empty. Reading was bounded for each wake, the work was not.

Evidence: TestOneWakeHandlesFewMessagesOfAClient.

Change: after maxMessagesPerWake messages the rest is posted to the loop, which turns to other connections first, and nothing more is read meanwhile. Responses that become complete while messages are handled are written together; large ones are no longer copied into one piece. A connection is not closed as idle while it has messages left to handle.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -20,6 +20,8 @@
 	// closes its write side first and gives the client lingerTimeout, many round-trip times, to close the other.
 	lingerTimeout         = 200 * time.Millisecond
 	maxEncryptionRequests = 2 // a client may ask for each of the two kinds of encryption once
+	// maxMessagesPerWake is how many messages of one client the loop handles before it turns to other connections.
+	maxMessagesPerWake = 4
 )
 
 var errQueryTimeout = errors.New("no whole query in time")
@@ -47,7 +49,8 @@
 	writeClosed        bool // nothing more is sent to the client
 	partialQuery       bool // part of a query has arrived, and timer limits the wait for the rest
 	blocked            bool // its next query waits, and its input is left in the kernel's buffer; see canSubmit
-	resuming           bool // resume is posted to the loop
+	resuming           bool // processInput is posted to the loop
+	batching           bool // complete responses are sent together once the messages at hand are handled
 	pipelinedBytes     int  // what it has in Server.pipelinedBytes
 	responses          []*pendingResponse
 	timer              state.Deadline
@@ -71,6 +74,9 @@
 
 // onReadable implements socketHandler. It reads and processes a limited part of the available input.
 func (c *client) onReadable() {
+	if c.resuming {
+		return // what was read before comes first
+	}
 	if err := c.socket.read(&c.input); err != nil {
 		c.close()
 		return
@@ -78,35 +84,65 @@
 	c.processInput()
 }
 
-// processInput handles the complete messages in the input buffer. A query that has to wait stays there, and what
-// follows it in the kernel's buffer.
+// processInput handles complete messages in the input buffer, at most maxMessagesPerWake; the loop turns to other
+// connections before it handles further ones. A query that has to wait stays in the buffer, and what follows it in the
+// kernel's buffer.
 func (c *client) processInput() {
 	defer c.updateEvictionList()
-	for used := 0; c.connState < stateClosing; {
-		blocked := !c.canSubmit()
-		n, err := 0, error(nil)
-		if !blocked {
-			n, err = c.handleMessage(c.input.unprocessed()[used:])
-			used += n
+	c.batching = true
+	handled, more := c.handleMessages()
+	c.batching = false
+	c.sendResponses()
+	if c.connState >= stateClosing {
+		c.input.discard(c.input.size()) // input after the final response is ignored
+		c.accountBuffer()
+		return
+	}
+	blocked := more && !c.canSubmit()
+	c.setBlocked(blocked)
+	if more && !blocked {
+		c.processLater()
+	}
+	c.updateQueryTimer(handled > 0)
+	if c.accountBuffer(); more || !c.server.inputFull() || c.input.size() <= maxIdleBufferBytes {
+		return
+	}
+	c.server.dispatcher.Counters.ClientsRejected++ // the partial query has not been accepted as a request
+	c.closeWithError(pg.CodeTooManyConnections, "no memory for a query of this size now")
+	c.input.discard(c.input.size())
+	c.accountBuffer()
+}
+
+// handleMessages handles messages until none is complete, the connection closes, the next has to wait, or
+// maxMessagesPerWake are handled. It returns how many were, and whether more may be complete.
+func (c *client) handleMessages() (handled int, more bool) {
+	for ; c.connState < stateClosing; handled++ {
+		if handled == maxMessagesPerWake || !c.canSubmit() {
+			return handled, c.input.size() > 0
 		}
+		n, err := c.handleMessage(c.input.unprocessed())
+		c.input.discard(n)
 		if err != nil {
 			c.protocolError(err)
-			continue
-		}
-		if n > 0 {
-			continue
+			return handled, false
 		}
-		c.input.discard(used)
-		c.setBlocked(blocked)
-		c.updateQueryTimer(used > 0)
-		if c.accountBuffer(); blocked || !c.server.inputFull() || c.input.size() <= maxIdleBufferBytes {
-			return
+		if n == 0 {
+			return handled, false
 		}
-		c.server.dispatcher.Counters.ClientsRejected++ // the partial query has not been accepted as a request
-		c.closeWithError(pg.CodeTooManyConnections, "no memory for a query of this size now")
 	}
-	c.input.discard(c.input.size()) // input after the final response is ignored
-	c.accountBuffer()
+	return handled, false
+}
+
+// processLater processes the rest of the input once the loop has handled its other events.
+func (c *client) processLater() {
+	if c.resuming {
+		return
+	}
+	c.resuming = true
+	c.server.loop.Post(func() {
+		c.resuming = false
+		c.processInput()
+	})
 }
 
 // updateQueryTimer starts the timeout for the rest of a partial query, once per query, and clears it when no partial
@@ -115,7 +151,7 @@
 	if !c.hasQueried {
 		return // the timeout for the first query, set on accept, still runs
 	}
-	partialQuery := c.input.size() > 0 && !c.blocked
+	partialQuery := c.input.size() > 0 && !c.blocked && !c.resuming
 	switch {
 	case partialQuery && (newQuery || !c.partialQuery):
 		c.server.deadlines.Set(&c.timer, c.server.clock.Now()+queryTimeout, c.queryTimedOut)
@@ -258,32 +294,48 @@
 // Failed implements state.Responder.
 func (resp *pendingResponse) Failed() { resp.complete(pg.AppendFailure(nil)) }
 
-// complete records the response and sends all complete responses that precede the first incomplete one.
+// complete records the response, and sends it with those that precede it once all of them are complete.
 func (resp *pendingResponse) complete(messages []byte) {
-	c := resp.client
 	resp.done, resp.messages = true, messages
-	n, out := 0, []byte(nil)
-	closeAfter := false
-	for ; n < len(c.responses) && c.responses[n].done; n++ {
-		closeAfter = c.responses[n].closeAfter
-		if out == nil {
-			out = c.responses[n].messages
-		} else {
-			out = append(out, c.responses[n].messages...)
-		}
+	if !resp.client.batching {
+		resp.client.sendResponses()
 	}
-	if n == 0 {
-		c.accountResponses()
-		return
+}
+
+// sendResponses sends all complete responses that precede the first incomplete one.
+func (c *client) sendResponses() {
+	output, closeAfter := c.takeResponses()
+	for _, chunk := range output {
+		c.write(chunk)
 	}
-	c.responses = append(c.responses[:0], c.responses[n:]...)
-	c.write(out)
 	if closeAfter {
 		c.closeGracefully()
 	}
 	c.accountResponses()
-	c.closeIfDrained()
-	c.updateEvictionList()
+	if len(output) > 0 {
+		c.closeIfDrained()
+		c.updateEvictionList()
+	}
+}
+
+// takeResponses removes the complete responses that precede the first incomplete one, and returns their bytes, the small
+// ones joined. It also reports whether the connection is to be closed after them.
+func (c *client) takeResponses() (output [][]byte, closeAfter bool) {
+	n := 0
+	joined := false // the last chunk of output is joined, and may be appended to
+	for ; n < len(c.responses) && c.responses[n].done && !closeAfter; n++ {
+		messages := c.responses[n].messages
+		closeAfter = c.responses[n].closeAfter
+		small := len(messages) < outputChunkBytes
+		if small && joined {
+			last := len(output) - 1
+			output[last] = append(output[last], messages...)
+			continue
+		}
+		output, joined = append(output, messages), small
+	}
+	c.responses = append(c.responses[:0], c.responses[n:]...)
+	return output, closeAfter
 }
 
 // write sends bytes. What the client doesn't read is queued.
@@ -341,7 +393,7 @@
 // closeIfIdle closes a connection that awaits no response. A partial query, which has not been accepted, prevents this
 // unless allowPartial is set, once the client has had its time to send the rest.
 func (c *client) closeIfIdle(allowPartial bool) {
-	if c.connState < stateClosing && len(c.responses) == 0 && c.socket.unsent == 0 &&
+	if c.connState < stateClosing && len(c.responses) == 0 && c.socket.unsent == 0 && !c.resuming &&
 		(allowPartial || c.input.size() == 0) && c.allInputSeen() {
 		c.closeGracefully()
 	}
--- a/internal/net/pipeline.go
+++ b/internal/net/pipeline.go
@@ -41,12 +41,8 @@
 
 // resumeLater processes the waiting input of a blocked client that may continue, once the current event is handled.
 func (c *client) resumeLater() {
-	if c.blocked && !c.resuming && c.canSubmit() {
-		c.resuming = true
-		c.server.loop.Post(func() {
-			c.resuming = false
-			c.processInput()
-		})
+	if c.blocked && c.canSubmit() {
+		c.processLater()
 	}
 }
 
