Wake as many waiting clients as there is room for, in their order

Cause: each time that a response was sent, Server.addPipelinedBytes posted the processing of every client whose next query waited for the shared memory, though one of them could go on: work that grows with the clients for each response, and in no order.

Evidence: TestRoomForOneResponseWakesOneClient.

Change: the clients that wait for shared memory stand in a queue, and as many are woken as there is room for. Those that wait for their own responses are woken by these alone.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -48,10 +48,11 @@
 	encryptionRequests int
 	writeClosed        bool // nothing more is sent to the client
 	partialQuery       bool // part of a query has arrived, and timer limits the wait for the rest
-	blocked            bool // its next query waits, and its input is left in the kernel's buffer; see canSubmit
-	resuming           bool // processInput is posted to the loop
-	batching           bool // complete responses are sent together once the messages at hand are handled
-	pipelinedBytes     int  // what it has in Server.pipelinedBytes
+	waiting            waitReason
+	memoryQueueElement *list.Element // its element in Server.memoryQueue, or nil
+	resuming           bool          // processInput is posted to the loop
+	batching           bool          // complete responses are sent together once the messages at hand are handled
+	pipelinedBytes     int           // what it has in Server.pipelinedBytes
 	responses          []*pendingResponse
 	timer              state.Deadline
 
@@ -98,9 +99,12 @@
 		c.accountBuffer()
 		return
 	}
-	blocked := more && !c.canSubmit()
-	c.setBlocked(blocked)
-	if more && !blocked {
+	reason := notWaiting
+	if more {
+		reason = c.waitReason()
+	}
+	c.setWaiting(reason)
+	if more && reason == notWaiting {
 		c.processLater()
 	}
 	c.updateQueryTimer(handled > 0)
@@ -117,7 +121,7 @@
 // maxMessagesPerWake are handled. It returns how many were, and whether more may be complete.
 func (c *client) handleMessages() (handled int, more bool) {
 	for ; c.connState < stateClosing; handled++ {
-		if handled == maxMessagesPerWake || !c.canSubmit() {
+		if handled == maxMessagesPerWake || c.waitReason() != notWaiting {
 			return handled, c.input.size() > 0
 		}
 		n, err := c.handleMessage(c.input.unprocessed())
@@ -151,7 +155,7 @@
 	if !c.hasQueried {
 		return // the timeout for the first query, set on accept, still runs
 	}
-	partialQuery := c.input.size() > 0 && !c.blocked && !c.resuming
+	partialQuery := c.input.size() > 0 && c.waiting == notWaiting && !c.resuming
 	switch {
 	case partialQuery && (newQuery || !c.partialQuery):
 		c.server.deadlines.Set(&c.timer, c.server.clock.Now()+queryTimeout, c.queryTimedOut)
@@ -383,7 +387,7 @@
 		return
 	}
 	c.connState = stateClosing
-	c.setBlocked(false) // what the client still sends is read and ignored
+	c.setWaiting(notWaiting) // what the client still sends is read and ignored
 	c.server.deadlines.Clear(&c.timer)
 	resp := &pendingResponse{client: c, closeAfter: true}
 	c.responses = append(c.responses, resp)
@@ -410,7 +414,7 @@
 		return
 	}
 	c.connState = stateClosing
-	c.setBlocked(false)
+	c.setWaiting(notWaiting)
 	c.input.discard(c.input.size())
 	c.accountBuffer()
 	if c.socket.unsent == 0 {
@@ -446,7 +450,7 @@
 	c.connState = stateClosed
 	c.server.deadlines.Clear(&c.timer)
 	c.socket.close()
-	c.setBlocked(false)
+	c.setWaiting(notWaiting)
 	c.server.listener.open.Add(-1)
 	c.abandonRequests()
 	c.input.free()
--- a/internal/net/pipeline.go
+++ b/internal/net/pipeline.go
@@ -12,40 +12,65 @@
 	reservedResponseBytes = 64 << 10
 )
 
-// canSubmit reports whether the client's next query may be handled now. The first of a client always may. A further one
-// waits while too many are in progress, while the client leaves too much of its responses unread, or while the responses
-// to the further queries of all clients take too much memory.
-func (c *client) canSubmit() bool {
+// waitReason is why a client's next query has to wait.
+type waitReason uint8
+
+const (
+	notWaiting     waitReason = iota
+	waitsForOwn               // too many of its queries are in progress, or it leaves too much of its responses unread
+	waitsForOthers            // the responses to the further queries of all clients take too much memory
+)
+
+// waitReason returns whether the client's next query has to wait, and why. The first of a client never has to.
+func (c *client) waitReason() waitReason {
 	switch {
 	case len(c.responses) == 0 && c.socket.unsent == 0:
-		return true
+		return notWaiting
 	case len(c.responses) >= maxPipelinedQueries || c.unsentBytes() >= maxUnsentBytes:
-		return false
+		return waitsForOwn
+	case c.server.pipelinedBytes+reservedResponseBytes > c.server.maxPipelinedBytes:
+		return waitsForOthers
 	}
-	return c.server.pipelinedBytes+reservedResponseBytes <= c.server.maxPipelinedBytes
+	return notWaiting
 }
 
-// setBlocked records whether the next query has to wait. Meanwhile no further input is read.
-func (c *client) setBlocked(blocked bool) {
-	if c.blocked == blocked {
+// setWaiting records why the next query has to wait, if it has to. Meanwhile no further input is read.
+func (c *client) setWaiting(reason waitReason) {
+	if c.waiting == reason {
 		return
 	}
-	c.blocked = blocked
-	c.socket.pauseReading(blocked)
-	if blocked {
-		c.server.blocked[c] = struct{}{}
-	} else {
-		delete(c.server.blocked, c)
+	if c.memoryQueueElement != nil {
+		c.server.memoryQueue.Remove(c.memoryQueueElement)
+		c.memoryQueueElement = nil
+	}
+	if reason == waitsForOthers {
+		c.memoryQueueElement = c.server.memoryQueue.PushBack(c)
 	}
+	c.waiting = reason
+	c.socket.pauseReading(reason != notWaiting)
 }
 
-// resumeLater processes the waiting input of a blocked client that may continue, once the current event is handled.
+// resumeLater processes the waiting input of a client for which the reason to wait has changed, once the current event is
+// handled.
 func (c *client) resumeLater() {
-	if c.blocked && c.canSubmit() {
+	if c.waiting != notWaiting && c.waitReason() != c.waiting {
 		c.processLater()
 	}
 }
 
+// addPipelinedBytes changes the total of memory for responses. As many of the clients that wait for it may continue as
+// there is room for, in the order in which they began to wait.
+func (s *Server) addPipelinedBytes(change int) {
+	if s.pipelinedBytes += change; change >= 0 {
+		return
+	}
+	room := (s.maxPipelinedBytes - s.pipelinedBytes) / reservedResponseBytes
+	for e := s.memoryQueue.Front(); e != nil && room > 0; e = e.Next() {
+		e.Value.(*client).processLater()
+		room--
+	}
+}
+
 // unsentBytes returns the size of the complete responses that the kernel has not taken yet.
 func (c *client) unsentBytes() int {
 	total := c.socket.unsent
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -38,12 +38,12 @@
 	listening  bool
 
 	clients          map[*client]struct{}
-	blocked          map[*client]struct{} // those whose next query waits; see client.canSubmit
-	silent           list.List            // no complete query yet, oldest first
-	idle             list.List            // no response pending, longest idle first
-	closing          list.List            // write side closed, waiting for the client to close
-	bufferedBytes    int                  // input of all clients that is not processed yet
-	maxBufferedBytes int                  // above it, a client with more than maxIdleBufferBytes of input is rejected
+	memoryQueue      list.List // those whose next query waits for others, in order; see client.waitReason
+	silent           list.List // no complete query yet, oldest first
+	idle             list.List // no response pending, longest idle first
+	closing          list.List // write side closed, waiting for the client to close
+	bufferedBytes    int       // input of all clients that is not processed yet
+	maxBufferedBytes int       // above it, a client with more than maxIdleBufferBytes of input is rejected
 	// pipelinedBytes is the memory for responses that clients don't read at once, and for those to queries that they sent
 	// ahead of a response. No further query is handled ahead if that may take it above maxPipelinedBytes.
 	pipelinedBytes    int
@@ -62,7 +62,7 @@
 func NewServer(loop *Loop, clock state.Clock, dispatcher *state.Dispatcher, maxClients, maxExcess,
 	maxBufferedBytes int) *Server {
 	return &Server{loop: loop, clock: clock, deadlines: &dispatcher.Deadlines, dispatcher: dispatcher,
-		clients: map[*client]struct{}{}, blocked: map[*client]struct{}{}, maxClients: maxClients,
+		clients: map[*client]struct{}{}, maxClients: maxClients,
 		idleLimit: maxClients / idleLimitDivisor, maxExcess: maxExcess, maxBufferedBytes: maxBufferedBytes,
 		maxPipelinedBytes: maxBufferedBytes}
 }
@@ -139,16 +139,6 @@
 // inputFull reports whether the input that waits for the rest of its query takes too much memory.
 func (s *Server) inputFull() bool { return s.bufferedBytes > s.maxBufferedBytes }
 
-// addPipelinedBytes changes the total of memory for responses, and lets the clients that wait for it continue.
-func (s *Server) addPipelinedBytes(change int) {
-	if s.pipelinedBytes += change; change >= 0 {
-		return
-	}
-	for c := range s.blocked {
-		c.resumeLater()
-	}
-}
-
 // atCapacity reports whether the maximum number of clients is connected.
 func (s *Server) atCapacity() bool {
 	return len(s.clients)-s.excessClients >= s.maxClients
--- a/internal/net/slow_peer_test.go
+++ b/internal/net/slow_peer_test.go
@@ -55,7 +55,7 @@
 		quiet = onLoop(s.loop, func() bool {
 			most = max(most, s.pipelinedBytes)
 			for c := range s.clients {
-				if len(c.responses) > 0 || c.resuming || !c.blocked && (!c.hasQueried || !c.allInputSeen()) {
+				if len(c.responses) > 0 || c.resuming || c.waiting == notWaiting && (!c.hasQueried || !c.allInputSeen()) {
 					return false
 				}
 			}
@@ -112,8 +112,8 @@
 	advance(s, writeStallTimeout)
 	for onLoop(loop, func() uint64 { return dispatcher.Counters.ClientsNotReading }) == 0 {
 	}
-	if held := onLoop(loop, func() int { return len(s.clients) + s.pipelinedBytes + len(s.blocked) }); held != 0 {
-		t.Errorf("%d clients, bytes and blocked clients are left", held)
+	if held := onLoop(loop, func() int { return len(s.clients) + s.pipelinedBytes + s.memoryQueue.Len() }); held != 0 {
+		t.Errorf("%d clients, bytes and waiting clients are left", held)
 	}
 }
 
--- a/internal/net/wake_test.go
+++ b/internal/net/wake_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	stdnet "net"
 	"strings"
 	"testing"
 
@@ -38,3 +40,35 @@
 		t.Errorf("the responses are %.60q", types)
 	}
 }
+
+// Each response woke all clients that waited for memory, although there was room for one of them.
+func TestRoomForOneResponseWakesOneClient(t *testing.T) {
+	release := make(chan struct{})
+	s, _, loop := startProxy(t, startDatabase(t, func(conn stdnet.Conn, text string) bool {
+		<-release
+		return echo(conn, text)
+	}), 20, 1)
+	const clients = 10
+	onLoop(loop, func() bool { s.maxPipelinedBytes = reservedResponseBytes; return true })
+	for i := range clients {
+		sendQueriesAtOnce(t, s, fmt.Sprint("client", i, "query"), 3)
+	}
+	for onLoop(loop, func() int { return s.memoryQueue.Len() }) < clients {
+	}
+	woken := onLoop(loop, func() (woken int) {
+		s.addPipelinedBytes(-reservedResponseBytes)
+		for c := range s.clients {
+			if c.resuming {
+				woken++
+			}
+		}
+		s.pipelinedBytes += reservedResponseBytes
+		return woken
+	})
+	if woken != 1 {
+		t.Errorf("%d clients were woken, want 1", woken)
+	}
+	close(release)
+	for onLoop(loop, func() bool { return s.memoryQueue.Len() > 0 || s.dispatcher.OpenRequests() > 0 }) {
+	}
+}
