Repeat only the beginning of a client's names in errors and in the log

Cause: the error for an unknown class quoted the whole name, which may be as long as a query and gets up to four times longer by that; the client was sent the error from the event loop. The log did the same with a request's id.

Change: abbreviate keeps 64 bytes of such a name.

--- a/internal/state/dispatcher.go
+++ b/internal/state/dispatcher.go
@@ -217,7 +217,7 @@
 func (d *Dispatcher) Submit(in Request) (logic.RequestID, error) {
 	class, ok := d.classIndexes[in.Class]
 	if !ok {
-		return 0, fmt.Errorf("unknown class %q", in.Class)
+		return 0, fmt.Errorf("unknown class %q", abbreviate(in.Class))
 	}
 	large := 0
 	if in.QueryBytes >= largeQueryBytes {
@@ -237,7 +237,7 @@
 	}
 	d.lastRequestID++
 	if d.Counters.Accepted++; d.Counters.Accepted == 1 {
-		slog.Info("first request", "id", in.ClientRequestID, "class", in.Class, "group", in.Group, "waits", in.Timeout)
+		slog.Info("first request", "id", abbreviate(in.ClientRequestID), "class", in.Class, "group", in.Group, "waits", in.Timeout)
 	}
 	q := &request{id: d.lastRequestID, clientRequestID: in.ClientRequestID, class: class, group: in.Group,
 		receivedAt: d.clock.Now(), answerDeadline: d.answerDeadline(in.Timeout), query: in.Query, queryBytes: large,
@@ -395,7 +395,7 @@
 	switch {
 	case r.Result == logic.OK:
 		if d.Counters.Served == 0 {
-			slog.Info("first answer", "id", q.clientRequestID, "after", d.clock.Now()-q.receivedAt)
+			slog.Info("first answer", "id", abbreviate(q.clientRequestID), "after", d.clock.Now()-q.receivedAt)
 		}
 		d.answer(q.id, &d.Counters.Served, "served", "", func(resp Responder) { resp.Served(r.Body) })
 	case r.StatementError:
--- a/internal/state/requestlog.go
+++ b/internal/state/requestlog.go
@@ -13,8 +13,19 @@
 	// does not include the network delay to the client, and the client counts the request as lost soon after this
 	// tolerance.
 	lateTolerance = 10 * time.Millisecond
+	// maxQuotedBytes is how much of a name that a client has chosen is repeated in the log and in errors.
+	maxQuotedBytes = 64
 )
 
+// abbreviate returns a name that a client has chosen as it is repeated in the log and in errors: a name can be as long as a
+// query, and quoting makes it up to four times longer.
+func abbreviate(name string) string {
+	if len(name) <= maxQuotedBytes {
+		return name
+	}
+	return name[:maxQuotedBytes] + "..."
+}
+
 // requestLog limits the rate of log lines about requests that were refused, failed or late. The number of
 // suppressed lines is logged with the next line.
 type requestLog struct {
@@ -49,7 +60,7 @@
 	if !d.requestLog.allow(now) {
 		return
 	}
-	slog.Info("request ended", "id", q.clientRequestID, "class", d.cfg.Logic.Classes[q.class].Name, "group", q.group,
+	slog.Info("request ended", "id", abbreviate(q.clientRequestID), "class", d.cfg.Logic.Classes[q.class].Name, "group", q.group,
 		"ending", ending, "reason", reason, "attempts", q.attempts, "after", now-q.receivedAt, "late", max(late, 0),
 		"suppressed", d.requestLog.suppressed)
 	d.requestLog.suppressed = 0
