Update a group once for each list, not once for each entry

Cause: the router searched a whole group for its primary with each entry of a list, and moved a group's members with each one that left. The work grew with the square of the entries of one group, on the event loop.

Evidence: TestListOfOneLargeGroupIsAppliedInTime, 20,000 members, as many as a list of 4 MiB describes.

Change: the groups that a list changes are collected, and each is updated once when all entries are applied. Where one list takes several members with the role of a primary from a group, the group has no primary until one reports, instead of an older one in between.

--- a/logic/router.go
+++ b/logic/router.go
@@ -122,9 +122,30 @@
 	if r.hasUnlisted {
 		r.forgetUnlisted(now)
 	}
+	r.updateChangedGroups()
 	r.resumeWaiting(now)
 }
 
+// markChanged makes updateChangedGroups update a group.
+func (r *Router) markChanged(g *group) {
+	if !g.changed {
+		g.changed = true
+		r.changed = append(r.changed, g)
+	}
+}
+
+// updateChangedGroups determines the primaries of the groups that a list has changed and drops the members
+// that are no longer known, once for each group: a list may hold thousands of entries of one group.
+func (r *Router) updateChangedGroups() {
+	for _, g := range r.changed {
+		g.changed = false
+		r.updatePrimary(g)
+		g.members = slices.DeleteFunc(g.members, func(m *member) bool { return r.members[m.ID] != m })
+	}
+	clear(r.changed)
+	r.changed = r.changed[:0]
+}
+
 // forgetUnlisted removes the members that are no longer listed, except those that handleUnlisted keeps.
 func (r *Router) forgetUnlisted(now time.Duration) {
 	r.hasUnlisted = false
@@ -164,23 +185,24 @@
 			m.role, m.roleAt = RolePrimary, at
 		}
 	}
-	r.updatePrimary(m.group)
+	r.markChanged(m.group)
 }
 
 // handleUnlisted marks an unlisted member as gone, if the list is authoritative for that. It removes the
-// member from its group, and tells whether it did. It keeps a member with attempts or a probe pending, and a
-// ready one until it has been unresponsive for longer than forgetUnresponsiveAfter.
+// member, and tells whether it did; updateChangedGroups removes it from its group. It keeps a member with
+// attempts or a probe pending, and a ready one until it has been unresponsive for longer than
+// forgetUnresponsiveAfter.
 func (r *Router) handleUnlisted(now time.Duration, m *member) bool {
 	if m.State != Gone && !r.cfg.IgnoreListedGone {
 		m.State = Gone
-		r.updatePrimary(m.group)
+		r.markChanged(m.group)
 	}
 	if len(m.inFlight) > 0 || m.probing ||
 		m.State == Ready && (!m.unresponsive || now-m.unresponsiveSince <= forgetUnresponsiveAfter) {
 		return false
 	}
 	delete(r.members, m.ID)
-	m.group.members = slices.DeleteFunc(m.group.members, func(x *member) bool { return x == m })
+	r.markChanged(m.group)
 	return true
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -25,6 +25,7 @@
 	orderedMembers      []*member            // all members, in the order in which they were first listed
 	hasUnlisted         bool                 // some members are no longer listed
 	active              []*group             // groups in use; in a large fleet, a tick checks only these
+	changed             []*group             // groups that the list being handled has changed
 	requests            map[RequestID]*request
 	waiting             []*request // requests that wait for probe results or the next tick
 	pins                fifoCache[pinKey, pin]
@@ -90,6 +91,7 @@
 	meanLongWork   float64 // the part of meanWork that long reads cause; see isLongRead
 	recentRequests decayingCounter
 	active         bool // it is in Router.active
+	changed        bool // it is in Router.changed
 	term           int  // number of changes of primary; pins of an earlier term are void
 }
 
