Give back what a request occupies once, however many paths report its end

Cause: a served request, and one whose statement the database rejects, was ended by Dispatcher.answer and once more by attemptEnded, and removeIfFinished took the size of its query off queryBytes both times. After some hundred served writes the total was far below zero, and the limit on large queries (an eighth of the memory) never took effect. The second removal could also take the id of a later request out of the table of open ids.

Evidence: TestLargeQueryIsCountedOffOnceHoweverItEnds ends a request on eleven paths: before, "served" and "statement error" take the bytes of two. The other ends are counted once.

Change: a request is removed only while it is in the table.

--- a/internal/state/dispatcher.go
+++ b/internal/state/dispatcher.go
@@ -286,9 +286,10 @@
 	}
 }
 
-// removeIfFinished removes a request that is answered or abandoned and has no open attempt.
+// removeIfFinished removes a request that is answered or abandoned and has no open attempt. Its end may be reported on more
+// than one path, and what it occupied is given back with the first of them.
 func (d *Dispatcher) removeIfFinished(q *request) {
-	if q.responder == nil && q.openAttempt == nil {
+	if d.requests[q.id] == q && q.responder == nil && q.openAttempt == nil {
 		delete(d.requests, q.id)
 		delete(d.openClientRequestIDs, q.clientRequestID)
 		d.queryBytes -= q.queryBytes
