Count the reason of a refusal once, and attempts that were not sent

Cause: Dispatcher.Refuse counted the reason before it looked whether the request was still open, and the result NotSent had no counter, so that the attempts started were more than those that ended.

Evidence: TestLargeQueryIsCountedOffOnceHoweverItEnds ("refused twice": two reasons for one refusal) and the random runs, which compare the ends of requests and of attempts with those that began, fail before.

Change: the reason is counted with the answer; a counter not_sent in the log.

--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -16,7 +16,7 @@
 	NoTime, NoPrimary, Overload                                  uint64 // refusals by reason
 	Sent                                                         uint64 // attempts started
 	OK, Miss, Error, Full, TimedOut, ConnectFailed               uint64 // attempts by result
-	Reset, Cancelled                                             uint64
+	Reset, Cancelled, NotSent                                    uint64
 	Probes, ProbesOK                                             uint64
 	Opened, ClosedIdle, ConnectionLimitReached, MalformedReplies uint64 // database connections
 	ListCalls, ListFailures                                      uint64
@@ -46,6 +46,8 @@
 		c.Reset++
 	case logic.Cancelled:
 		c.Cancelled++
+	case logic.NotSent:
+		c.NotSent++
 	}
 }
 
@@ -71,7 +73,7 @@
 		slog.Uint64("sent", c.Sent), slog.Uint64("ok", c.OK), slog.Uint64("miss", c.Miss),
 		slog.Uint64("error", c.Error), slog.Uint64("full", c.Full), slog.Uint64("timed_out", c.TimedOut),
 		slog.Uint64("connect_failed", c.ConnectFailed), slog.Uint64("reset", c.Reset),
-		slog.Uint64("cancelled", c.Cancelled),
+		slog.Uint64("cancelled", c.Cancelled), slog.Uint64("not_sent", c.NotSent),
 		slog.Uint64("probes", c.Probes), slog.Uint64("probes_ok", c.ProbesOK),
 		slog.Uint64("opened", c.Opened), slog.Uint64("closed_idle", c.ClosedIdle),
 		slog.Uint64("no_room", c.ConnectionLimitReached), slog.Uint64("spoilt", c.MalformedReplies),
--- a/internal/state/counts_test.go
+++ b/internal/state/counts_test.go
@@ -83,6 +83,10 @@
 			t.Errorf("%s: %d bytes, %d requests and %d ids are counted, want those of one request", name, d.queryBytes,
 				len(d.requests), len(d.openClientRequestIDs))
 		}
+		if c := &h.dispatcher.Counters; c.Served+c.Refused+c.Failed+c.Abandoned != 1 ||
+			c.NoTime+c.NoPrimary+c.Overload != c.Refused {
+			t.Errorf("%s: %+v, want one end, and one reason if it is a refusal", name, *c)
+		}
 	}
 }
 
@@ -215,9 +219,36 @@
 	if connections != d.connections || d.connections > d.cfg.MaxConnections {
 		return fmt.Errorf("%d connections are counted, %d are there", d.connections, connections)
 	}
+	if c := d.Counters; c.Accepted != c.Served+c.Refused+c.Failed+c.Abandoned+r.unanswered() {
+		return fmt.Errorf("ends of requests: %+v", c)
+	} else if c.Sent != c.OK+c.Miss+c.Error+c.Full+c.TimedOut+c.ConnectFailed+c.Reset+c.Cancelled+c.NotSent+r.openAttempts() {
+		return fmt.Errorf("ends of attempts: %+v", c)
+	} else if c.NoTime+c.NoPrimary+c.Overload+c.RefusedForSize != c.Refused {
+		return fmt.Errorf("reasons of refusals: %+v", c)
+	}
 	return nil
 }
 
+// unanswered returns the number of requests that have no answer yet.
+func (r *randomRun) unanswered() (n uint64) {
+	for _, q := range r.dispatcher.requests {
+		if q.responder != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// openAttempts returns the number of attempts that have not ended.
+func (r *randomRun) openAttempts() (n uint64) {
+	for _, q := range r.dispatcher.requests {
+		if q.openAttempt != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // Whatever is counted in must be counted out once, on each path that an end can take: bytes, ids, connections, requests and
 // attempts.
 func TestCountsMatchWhatTheyCountInRandomRuns(t *testing.T) {
--- a/internal/state/dispatcher.go
+++ b/internal/state/dispatcher.go
@@ -296,12 +296,12 @@
 	}
 }
 
-// answer passes the final answer to the client and ends the request. It does nothing for a request that was answered
-// or abandoned before. The reason is empty for a request that is served.
-func (d *Dispatcher) answer(id logic.RequestID, counter *uint64, ending, reason string, respond func(Responder)) {
+// answer passes the final answer to the client and ends the request. It does nothing and returns false for a request that
+// was answered or abandoned before. The reason is empty for a request that is served.
+func (d *Dispatcher) answer(id logic.RequestID, counter *uint64, ending, reason string, respond func(Responder)) bool {
 	q := d.requests[id]
 	if q == nil || q.responder == nil {
-		return
+		return false
 	}
 	responder := q.responder
 	q.responder = nil
@@ -309,12 +309,14 @@
 	d.recordRequestEnd(q, ending, reason)
 	respond(responder)
 	d.removeIfFinished(q)
+	return true
 }
 
 // Refuse implements logic.Actions.
 func (d *Dispatcher) Refuse(id logic.RequestID, retryAfter time.Duration, reason logic.Refusal) {
-	d.Counters.countRefusal(reason)
-	d.answer(id, &d.Counters.Refused, "refused", refusalNames[reason], func(resp Responder) { resp.Refused(retryAfter) })
+	if d.answer(id, &d.Counters.Refused, "refused", refusalNames[reason], func(resp Responder) { resp.Refused(retryAfter) }) {
+		d.Counters.countRefusal(reason)
+	}
 }
 
 // Fail implements logic.Actions.
