Take back from a tenant's usage what is left of a refused request

A tenant whose requests are refused late got more than its quota.

Cause: a tenant's usage decays with time, and a refusal took a whole request off it, whatever was left of that request. The usage of a tenant without a quota was never counted up, and counted down all the same.

Change: a request remembers whether it was counted and when, and a refusal takes back what has not decayed.

--- a/logic/invariants_test.go
+++ b/logic/invariants_test.go
@@ -415,6 +415,14 @@
 	if s.violation == "" && len(s.router.requests) != 0 {
 		s.reportViolation("requests kept after all have ended")
 	}
+	if s.violation == "" && len(s.router.openWrites) != 0 {
+		s.reportViolation("writes counted after all have ended")
+	}
+	for _, m := range s.router.orderedMembers {
+		if s.violation == "" && len(m.inFlight) != 0 {
+			s.reportViolation("attempts counted at a member after all have ended")
+		}
+	}
 	return s.violation
 }
 
--- a/logic/router.go
+++ b/logic/router.go
@@ -504,11 +504,12 @@
 		r.actions.Fail(in.ID)
 		return
 	}
-	q := &request{Request: in, class: &r.cfg.Classes[in.Class], group: r.getOrCreateGroup(in.Group)}
+	q := &request{Request: in, arrivedAt: now, class: &r.cfg.Classes[in.Class],
+		group: r.getOrCreateGroup(in.Group)}
 	r.requests[in.ID] = q
 	q.group.recentRequests.increment(now, requestRateWindow)
 	r.markActive(q.group)
-	q.overQuota = r.exceedsQuota(now, in.Tenant)
+	r.applyQuota(now, q)
 	r.retryTokens = min(r.retryTokens+retryTokensPerRequest, maxRetryTokens)
 	serviceTime := r.serviceTime[q.Class].Seconds()
 	q.group.meanWork += workWeight * (serviceTime - q.group.meanWork)
@@ -527,18 +528,19 @@
 	}
 }
 
-// exceedsQuota tells whether a tenant's request is over its quota, and counts the request if it is not. A
-// refusal reverts the count.
-func (r *Router) exceedsQuota(now time.Duration, tenant int) bool {
-	if tenant < 0 || tenant >= len(r.tenantUsage) || r.cfg.Tenants[tenant].Quota <= 0 {
-		return false
+// applyQuota tells a request that its tenant is over its quota, or else counts the request. A refusal takes
+// the count back.
+func (r *Router) applyQuota(now time.Duration, q *request) {
+	if q.Tenant < 0 || q.Tenant >= len(r.tenantUsage) || r.cfg.Tenants[q.Tenant].Quota <= 0 {
+		return
 	}
-	if r.tenantUsage[tenant].valueAt(now, quotaWindow) >=
-		max(r.proxyShare(r.cfg.Tenants[tenant].Quota)*quotaWindow.Seconds(), 1) {
-		return true
+	usage := &r.tenantUsage[q.Tenant]
+	q.overQuota = usage.valueAt(now, quotaWindow) >=
+		max(r.proxyShare(r.cfg.Tenants[q.Tenant].Quota)*quotaWindow.Seconds(), 1)
+	if !q.overQuota {
+		usage.increment(now, quotaWindow)
+		q.usesQuota = true
 	}
-	r.tenantUsage[tenant].increment(now, quotaWindow)
-	return false
 }
 
 // sessionToken returns the commit that a session's read must see. With Config.TokensCarried it comes from
@@ -708,8 +710,8 @@
 		if !r.cfg.MaySendRetryAfter {
 			retryAfter = 0
 		}
-		if !q.overQuota && q.Tenant >= 0 && q.Tenant < len(r.tenantUsage) {
-			r.tenantUsage[q.Tenant].value--
+		if q.usesQuota {
+			r.tenantUsage[q.Tenant].withdraw(q.arrivedAt, quotaWindow)
 		}
 		r.actions.Refuse(q.ID, retryAfter, reason)
 	} else {
--- a/logic/state.go
+++ b/logic/state.go
@@ -105,6 +105,8 @@
 	maybeExecuted bool // some attempt may have been executed
 	done          bool // it has its final answer, or needs none
 	overQuota     bool // its tenant was over its quota when it arrived
+	usesQuota     bool // it is counted in Router.tenantUsage
+	arrivedAt     time.Duration
 	waiting       bool // it is in Router.waiting
 
 	probeRounds      int           // number of rounds of probes sent for it
@@ -153,6 +155,12 @@
 	d.value, d.updatedAt = d.valueAt(now, timeConstant)+1, now
 }
 
+// withdraw takes back one event that was counted at an earlier time: what is left of it.
+func (d *decayingCounter) withdraw(countedAt, timeConstant time.Duration) {
+	left := math.Exp(-float64(d.updatedAt-countedAt) / float64(max(timeConstant, 1)))
+	d.value = max(d.value-left, 0)
+}
+
 // getOrCreateGroup returns the group with an ID. It creates the group if necessary, even before it is listed.
 func (r *Router) getOrCreateGroup(id GroupID) *group {
 	if r.groups[id] == nil {
