Abandon each request of a client that leaves, also those that end each other

Cause: client.abandonRequests walked c.responses while the end of one request could complete another of the client and move the rest of the list, so that one might be passed over and never given back. A request whose client closes while it is being submitted has no id yet and was not abandoned. Neither was forced: no run showed either.

Change: the list is taken before it is walked, and a request whose client has closed meanwhile is abandoned after Submit.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -280,7 +280,10 @@
 			Session: st.Session, Group: st.Group, TokenMillis: st.TokenMillis, Retry: st.Retry, Query: &st, QueryBytes: len(text),
 			Responder: resp})
 	})
-	if err != nil {
+	switch {
+	case c.connState == stateClosed:
+		c.abandon(resp)
+	case err != nil:
 		c.responses = c.responses[:len(c.responses)-1]
 	}
 	c.accountResponses()
@@ -432,14 +435,22 @@
 	c.server.deadlines.Set(&c.timer, c.server.clock.Now()+lingerTimeout, c.close)
 }
 
-// abandonRequests abandons the client's open requests.
+// abandonRequests abandons the client's open requests. The end of one may end others of the client, which must not find
+// them in c.responses any more.
 func (c *client) abandonRequests() {
-	for _, resp := range c.responses {
-		if !resp.done && resp.id != 0 {
-			c.server.loop.callShared(func() { c.server.dispatcher.Abandon(resp.id) })
-		}
-	}
+	responses := c.responses
 	c.responses = nil
+	for _, resp := range responses {
+		c.abandon(resp)
+	}
+}
+
+// abandon abandons the request of a response, if it is open. One that is being submitted has no id yet, and handleQuery
+// abandons it.
+func (c *client) abandon(resp *pendingResponse) {
+	if !resp.done && resp.id != 0 {
+		c.server.loop.callShared(func() { c.server.dispatcher.Abandon(resp.id) })
+	}
 }
 
 // close closes the connection immediately, releases what it holds and abandons the client's open requests.
