Notice a client's end behind unread input before anything is sent for it

The databases work for nobody, and each is a lost request.

Cause: while a client's next query waited, its input was left in the kernel's buffer. The end of a connection comes after the bytes that precede it, and these didn't fit, so it could not arrive. As soon as the first queries were answered, the next ones were submitted. Attempts that waited or were repeated were never checked against the client's end either.

Evidence: TestNothingIsSentForClientsWhoseEndIsBehindUnreadInput. TestNoAttemptBeginsForClientsThatMayHaveLeft covers further attempts and those that wait.

Change: - Input of a client that waits is read ahead, up to 160 KiB and the bound of all clients together; then it is left unread. - Input that was unread for more than 50 ms may hide the end. Before the next query is submitted it is read on to where it ends, and the oldest queries beyond those 160 KiB are refused. After a large backlog nothing is submitted until 20 ms have passed without more of it. - Before each attempt is sent, first or further, waiting or not, the dispatcher asks whether the client is there: its end is looked for in the socket also behind unread bytes, and where it may be hidden the attempt is not sent.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -49,6 +49,8 @@
 	writeClosed        bool // nothing more is sent to the client
 	partialQuery       bool // part of a query has arrived, and timer limits the wait for the rest
 	waiting            waitReason
+	backlog            backlog
+	catchUpTimer       state.Deadline
 	memoryQueueElement *list.Element // its element in Server.memoryQueue, or nil
 	resuming           bool          // processInput is posted to the loop
 	batching           bool          // complete responses are sent together once the messages at hand are handled
@@ -75,23 +77,25 @@
 
 // onReadable implements socketHandler. It reads and processes a limited part of the available input.
 func (c *client) onReadable() {
-	if c.resuming {
-		return // what was read before comes first
+	if c.resuming { // what was read before comes first
+		c.backlog.leftUnread(c.server.clock.Now())
+		return
 	}
-	if err := c.socket.read(&c.input); err != nil {
+	n, err := c.socket.read(&c.input)
+	if err != nil {
 		c.close()
 		return
 	}
+	c.backlog.read(c.server.clock.Now(), n, n < readBufferBytes, c.server.loop.polledBefore)
 	c.processInput()
 }
 
 // processInput handles complete messages in the input buffer, at most maxMessagesPerWake; the loop turns to other
-// connections before it handles further ones. A query that has to wait stays in the buffer, and what follows it in the
-// kernel's buffer.
+// connections before it handles further ones. A query that has to wait stays in the buffer.
 func (c *client) processInput() {
 	defer c.updateEvictionList()
 	c.batching = true
-	handled, more := c.handleMessages()
+	handled := c.handleMessages()
 	c.batching = false
 	c.sendResponses()
 	if c.connState >= stateClosing {
@@ -99,42 +103,66 @@
 		c.accountBuffer()
 		return
 	}
+	if handled > 0 {
+		c.leaveMemoryQueue() // others that wait for memory come first
+	}
 	reason := notWaiting
-	if more {
+	if c.input.size() > 0 {
 		reason = c.waitReason()
 	}
 	c.setWaiting(reason)
-	if more && reason == notWaiting {
+	if c.mayHandleNext(reason) && c.messageComplete() {
 		c.processLater()
 	}
 	c.updateQueryTimer(handled > 0)
-	if c.accountBuffer(); more || !c.server.inputFull() || c.input.size() <= maxIdleBufferBytes {
-		return
+	c.accountBuffer()
+	if reason == notWaiting && !c.resuming && c.server.inputFull() && c.input.size() > maxIdleBufferBytes {
+		c.rejectPartialQuery()
 	}
+}
+
+// rejectPartialQuery closes the connection of a client that has sent a part of a query for which there is no memory.
+func (c *client) rejectPartialQuery() {
 	c.server.dispatcher.Counters.ClientsRejected++ // the partial query has not been accepted as a request
 	c.closeWithError(pg.CodeTooManyConnections, "no memory for a query of this size now")
 	c.input.discard(c.input.size())
 	c.accountBuffer()
 }
 
+// mayHandleNext reports whether the next message may be handled: submitted, or refused to make room for what follows it.
+func (c *client) mayHandleNext(reason waitReason) bool {
+	return reason == notWaiting || reason == waitsForInput && c.input.size() >= c.maxHeldInput()
+}
+
 // handleMessages handles messages until none is complete, the connection closes, the next has to wait, or
-// maxMessagesPerWake are handled. It returns how many were, and whether more may be complete.
-func (c *client) handleMessages() (handled int, more bool) {
-	for ; c.connState < stateClosing; handled++ {
-		if handled == maxMessagesPerWake || c.waitReason() != notWaiting {
-			return handled, c.input.size() > 0
+// maxMessagesPerWake are handled. It returns how many were.
+func (c *client) handleMessages() (handled int) {
+	for ; c.connState < stateClosing && handled < maxMessagesPerWake; handled++ {
+		reason := c.waitReason()
+		if !c.mayHandleNext(reason) {
+			return handled
 		}
-		n, err := c.handleMessage(c.input.unprocessed())
+		n, err := c.handleMessage(c.input.unprocessed(), reason == notWaiting)
 		c.input.discard(n)
 		if err != nil {
 			c.protocolError(err)
-			return handled, false
+			return handled
 		}
 		if n == 0 {
-			return handled, false
+			return handled
 		}
 	}
-	return handled, false
+	return handled
+}
+
+// messageComplete reports whether the first message in the input buffer is complete or invalid.
+func (c *client) messageComplete() bool {
+	if c.connState == stateStartup {
+		_, n, err := pg.NextStartup(c.input.unprocessed())
+		return n > 0 || err != nil
+	}
+	_, n, err := pg.Next(c.input.unprocessed())
+	return n > 0 || err != nil
 }
 
 // processLater processes the rest of the input once the loop has handled its other events.
@@ -211,8 +239,9 @@
 	c.accountedBytes = held
 }
 
-// handleMessage handles the first message in buf and returns its length, or 0 if the message is incomplete.
-func (c *client) handleMessage(buf []byte) (int, error) {
+// handleMessage handles the first message in buf and returns its length, or 0 if the message is incomplete. Unless a query may
+// be submitted, it is refused.
+func (c *client) handleMessage(buf []byte, maySubmit bool) (int, error) {
 	if c.connState == stateStartup {
 		return c.handleStartup(buf)
 	}
@@ -229,7 +258,7 @@
 		if err != nil {
 			return n, err
 		}
-		return n, c.handleQuery(text)
+		return n, c.handleQuery(text, maySubmit)
 	}
 	return n, pg.ErrMalformed // only the simple query protocol is supported
 }
@@ -259,8 +288,8 @@
 }
 
 // handleQuery submits a query to the dispatcher as a request. An error means that the query is invalid. A query that there
-// is no room for is refused before it is copied or parsed.
-func (c *client) handleQuery(text []byte) error {
+// is no room for, or that may not be submitted, is refused before it is copied or parsed.
+func (c *client) handleQuery(text []byte, maySubmit bool) error {
 	if !c.hasQueried {
 		c.hasQueried = true
 		c.server.deadlines.Clear(&c.timer)
@@ -271,7 +300,7 @@
 		c.responses = append(c.responses, resp)
 		resp.complete(pg.AppendEmptyQueryResponse(nil))
 		return nil
-	case !c.server.dispatcher.HasRoomForQuery(len(text)):
+	case !maySubmit || !c.server.dispatcher.HasRoomForQuery(len(text)):
 		c.responses = append(c.responses, resp)
 		c.server.dispatcher.RefuseForSize(resp)
 		return nil
@@ -301,6 +330,21 @@
 	return err
 }
 
+// Client implements state.Responder. An end that has arrived is handled once the loop has handled the current event.
+func (resp *pendingResponse) Client() state.ClientPresence {
+	c := resp.client
+	switch {
+	case c.connState == stateClosed:
+		return state.ClientLeft
+	case c.socket.peerClosed():
+		c.server.loop.Post(c.close)
+		return state.ClientLeft
+	case c.endMayBeHidden():
+		return state.ClientUnknown
+	}
+	return state.ClientPresent
+}
+
 // Served implements state.Responder.
 func (resp *pendingResponse) Served(body []byte) { resp.complete(pg.AppendResult(nil, body)) }
 
@@ -401,7 +445,7 @@
 		return
 	}
 	c.connState = stateClosing
-	c.setWaiting(notWaiting) // what the client still sends is read and ignored
+	c.stopWaiting() // what the client still sends is read and ignored
 	c.server.deadlines.Clear(&c.timer)
 	resp := &pendingResponse{client: c, closeAfter: true}
 	c.responses = append(c.responses, resp)
@@ -428,7 +472,7 @@
 		return
 	}
 	c.connState = stateClosing
-	c.setWaiting(notWaiting)
+	c.stopWaiting()
 	c.input.discard(c.input.size())
 	c.accountBuffer()
 	if c.socket.unsent == 0 {
@@ -446,6 +490,12 @@
 	c.server.deadlines.Set(&c.timer, c.server.clock.Now()+lingerTimeout, c.close)
 }
 
+// stopWaiting ends the wait of the next query for good, because it is not handled any more.
+func (c *client) stopWaiting() {
+	c.setWaiting(notWaiting)
+	c.server.deadlines.Clear(&c.catchUpTimer)
+}
+
 // abandonRequests abandons the client's open requests. The end of one may end others of the client, which must not find
 // them in c.responses any more.
 func (c *client) abandonRequests() {
@@ -472,7 +522,7 @@
 	c.connState = stateClosed
 	c.server.deadlines.Clear(&c.timer)
 	c.socket.close()
-	c.setWaiting(notWaiting)
+	c.stopWaiting()
 	c.server.listener.open.Add(-1)
 	c.abandonRequests()
 	c.input.free()
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -179,7 +179,7 @@
 
 // onReadable implements socketHandler. It processes a limited part of the available input, up to the end of a response.
 func (db *databaseConn) onReadable() {
-	if err := db.socket.read(&db.input); err != nil {
+	if _, err := db.socket.read(&db.input); err != nil {
 		db.connectionLost()
 		return
 	}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -28,7 +28,9 @@
 	// spareBuffers are large input buffers that no connection uses.
 	spareBuffers [][]byte
 	sharedDepth  int // calls of the dispatcher in progress
-	stopped      bool
+	// polledAt and polledBefore are when the current wait for events returned, and the one before it.
+	polledAt, polledBefore time.Duration
+	stopped                bool
 
 	mu     sync.Mutex
 	queue  []func()
@@ -71,6 +73,7 @@
 	for !l.stopped {
 		l.events = l.poller.wait(l.events[:0], l.waitTime())
 		begin := l.clock.Now()
+		l.polledAt, l.polledBefore = begin, l.polledAt
 		l.handleHangups()
 		posted = l.takePosted(posted)
 		for i, f := range posted {
--- a/internal/net/pipeline.go
+++ b/internal/net/pipeline.go
@@ -1,7 +1,11 @@
 package net
 
+import "havenproxy/internal/wire/pg"
+
 // A client may send queries ahead of the responses to earlier ones. What that may cost is limited here: a query beyond the
-// limits waits, and what follows it stays in the kernel's buffer.
+// limits waits in the input buffer. Once that is full, what follows stays in the kernel's buffer, and may hide that the client
+// has closed its connection; see backlog. Before the next query is submitted the input is read on to where it ends, and
+// queries that there is no room for are refused.
 const (
 	maxPipelinedQueries = 16 // in progress for one client; hundreds at once would crowd out those of other clients
 	// maxUnsentBytes is how much of its responses a client may leave unread, beyond what the kernel buffers, before its
@@ -10,6 +14,8 @@
 	// reservedResponseBytes is what a query in progress is expected to need for its response: the largest value, as
 	// databases send it.
 	reservedResponseBytes = 64 << 10
+	// maxHeldInputBytes is how much input of a client whose next query waits is read ahead.
+	maxHeldInputBytes = pg.MaxMessage
 )
 
 // waitReason is why a client's next query has to wait.
@@ -19,35 +25,65 @@
 	notWaiting     waitReason = iota
 	waitsForOwn               // too many of its queries are in progress, or it leaves too much of its responses unread
 	waitsForOthers            // the responses to the further queries of all clients take too much memory
+	waitsForInput             // it may have closed its connection, behind input that is not read yet
 )
 
-// waitReason returns whether the client's next query has to wait, and why. The first of a client never has to.
+// waitReason returns whether the client's next query has to wait, and why. Others' responses don't keep the only query of a
+// client.
 func (c *client) waitReason() waitReason {
+	onlyQuery := len(c.responses) == 0 && c.socket.unsent == 0
 	switch {
-	case len(c.responses) == 0 && c.socket.unsent == 0:
+	case c.connState == stateStartup:
 		return notWaiting
 	case len(c.responses) >= maxPipelinedQueries || c.unsentBytes() >= maxUnsentBytes:
 		return waitsForOwn
-	case c.server.pipelinedBytes+reservedResponseBytes > c.server.maxPipelinedBytes:
+	case !onlyQuery && c.server.pipelinedBytes+reservedResponseBytes > c.server.maxPipelinedBytes:
 		return waitsForOthers
+	case c.endMayBeHidden():
+		return waitsForInput
 	}
 	return notWaiting
 }
 
-// setWaiting records why the next query has to wait, if it has to. Meanwhile no further input is read.
+// setWaiting records why the next query has to wait, if it has to.
 func (c *client) setWaiting(reason waitReason) {
-	if c.waiting == reason {
-		return
+	if reason != c.waiting || reason != waitsForOthers {
+		c.leaveMemoryQueue()
+	}
+	if reason == waitsForOthers && c.memoryQueueElement == nil {
+		c.memoryQueueElement = c.server.memoryQueue.PushBack(c)
 	}
+	c.waiting = reason
+	c.setReading(reason == notWaiting || reason == waitsForInput || c.input.size() < c.maxHeldInput())
+	if reason == waitsForInput {
+		c.awaitCatchUp()
+	}
+}
+
+// leaveMemoryQueue removes the client from the queue of those that wait for memory, if it is there.
+func (c *client) leaveMemoryQueue() {
 	if c.memoryQueueElement != nil {
 		c.server.memoryQueue.Remove(c.memoryQueueElement)
 		c.memoryQueueElement = nil
 	}
-	if reason == waitsForOthers {
-		c.memoryQueueElement = c.server.memoryQueue.PushBack(c)
+}
+
+// setReading starts or stops reading the client's input.
+func (c *client) setReading(reading bool) {
+	if !reading {
+		c.backlog.leftUnread(c.server.clock.Now())
 	}
-	c.waiting = reason
-	c.socket.pauseReading(reason != notWaiting)
+	if c.socket.paused == reading {
+		c.socket.pauseReading(!reading)
+	}
+}
+
+// maxHeldInput returns how much input may be held while the next query waits: none if all clients together hold too much.
+func (c *client) maxHeldInput() int {
+	if c.server.inputFull() {
+		return 0
+	}
+	return maxHeldInputBytes
 }
 
 // resumeLater processes the waiting input of a client for which the reason to wait has changed, once the current event is
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -74,7 +74,10 @@
 		return err
 	}
 	l.maxOpen = int64(s.maxClients + s.maxExcess)
-	l.onAccept = func(fd int) { s.loop.Post(func() { s.accept(fd) }) }
+	l.onAccept = func(fd int) {
+		acceptedAt := s.clock.Now()
+		s.loop.Post(func() { s.accept(fd, acceptedAt) })
+	}
 	l.onFull = func() {
 		s.loop.Post(func() {
 			l.roomRequested.Store(false)
@@ -98,7 +101,7 @@
 func (s *Server) Address() string { return s.listener.address.String() }
 
 // accept creates the client of a new connection, before any of its input is read.
-func (s *Server) accept(fd int) {
+func (s *Server) accept(fd int, acceptedAt time.Duration) {
 	setClientOptions(fd)
 	c := &client{server: s, input: buffer{loop: s.loop}}
 	var err error
@@ -107,6 +110,9 @@
 		slog.Warn("failed to set up a client connection", "error", err)
 		return
 	}
+	if !c.allInputSeen() {
+		c.backlog.leftUnread(acceptedAt)
+	}
 	if s.dispatcher.Counters.Clients++; s.dispatcher.Counters.Clients <= maxLoggedClients {
 		slog.Info("client connected", "number", s.dispatcher.Counters.Clients)
 	}
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -116,23 +116,23 @@
 	done(err)
 }
 
-// read appends input to the buffer, at most len(Loop.readBuffer) bytes. It reads nothing if no input has arrived, and
-// returns io.EOF at the end of the stream.
-func (s *socket) read(into *buffer) error {
+// read appends input to the buffer, at most len(Loop.readBuffer) bytes, and returns how many. It reads nothing if no input
+// has arrived, and returns io.EOF at the end of the stream.
+func (s *socket) read(into *buffer) (int, error) {
 	for {
 		n, err := unix.Read(s.fd, s.loop.readBuffer)
 		switch {
 		case err == unix.EINTR:
 			continue
 		case err == unix.EAGAIN:
-			return nil
+			return 0, nil
 		case err != nil:
-			return err
+			return 0, err
 		case n == 0:
-			return io.EOF
+			return 0, io.EOF
 		}
 		into.append(s.loop.readBuffer[:n])
-		return nil
+		return n, nil
 	}
 }
 
@@ -232,6 +232,19 @@
 	}
 }
 
+// peerClosed reports whether the end of the connection has arrived, also behind input that is not read yet.
+func (s *socket) peerClosed() bool {
+	if s.fd < 0 {
+		return true
+	}
+	polled := []unix.PollFd{{Fd: int32(s.fd), Events: unix.POLLRDHUP}}
+	for {
+		if _, err := unix.Poll(polled, 0); err != unix.EINTR {
+			return polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
+	}
+}
+
 // closeWrite shuts down the sending side; what the peer sends can still be read.
 func (s *socket) closeWrite() {
 	if s.fd >= 0 {
--- a/internal/state/connections.go
+++ b/internal/state/connections.go
@@ -209,7 +209,8 @@
 // maySend reports whether the limits of an attempt that has waited still allow to send it.
 func (d *Dispatcher) maySend(a *attempt) bool {
 	now := d.clock.Now()
-	return now < a.timeoutAt && (a.sendBy == 0 || now <= a.sendBy) && d.router.MaySend(now, a.req.id, a.number)
+	return now < a.timeoutAt && (a.sendBy == 0 || now <= a.sendBy) && d.router.MaySend(now, a.req.id, a.number) &&
+		a.req.clientPresence() == ClientPresent
 }
 
 // writeAttempt sends an attempt on an established connection.
--- a/internal/state/dispatcher.go
+++ b/internal/state/dispatcher.go
@@ -21,11 +21,22 @@
 // Responder receives the answer to one request. Exactly one of its methods is called, once, unless the request is
 // abandoned first.
 type Responder interface {
+	Client() ClientPresence           // asked before each attempt is sent
 	Served(body []byte)               // the body of a database's reply, valid during the call only
 	Refused(retryAfter time.Duration) // the request may be retried safely, best after retryAfter
 	Failed()                          // the request may or may not have been executed
 }
 
+// ClientPresence tells whether the client of a request still waits for its answer.
+type ClientPresence uint8
+
+// The values of ClientPresence.
+const (
+	ClientPresent ClientPresence = iota
+	ClientLeft                   // it has closed its connection
+	ClientUnknown                // it may have closed its connection, which can't be seen at the moment
+)
+
 // Query is the query that is sent to a database for a request.
 type Query interface {
 	// AppendTo appends the query to dst, for a database that has the given timeout to reply.
@@ -339,11 +350,15 @@
 	}
 	a := &attempt{req: q, number: q.attempts, target: m, timeoutAt: now + timeout, sendBy: sendBy, startedAt: now}
 	q.attempts++
-	if m == nil || q.responder == nil || q.openAttempt != nil || d.shutdownAt > 0 && now >= d.shutdownAt {
+	presence := q.clientPresence()
+	if m == nil || presence != ClientPresent || q.openAttempt != nil || d.shutdownAt > 0 && now >= d.shutdownAt {
 		d.notifyRouter(func() {
 			d.router.Outcome(d.clock.Now(), logic.Outcome{Request: id, Attempt: a.number, Member: target,
 				Result: logic.NotSent, Answered: q.responder == nil})
 		})
+		if presence == ClientLeft {
+			d.Abandon(id)
+		}
 		return
 	}
 	d.Counters.Sent++
@@ -352,6 +367,15 @@
 	d.assignConnection(a)
 }
 
+// clientPresence tells whether the client of a request still waits for its answer. No attempt may begin for one that has
+// left, or may have left.
+func (q *request) clientPresence() ClientPresence {
+	if q.responder == nil {
+		return ClientLeft
+	}
+	return q.responder.Client()
+}
+
 // Cancel implements logic.Actions. It cancels an attempt by closing its connection.
 func (d *Dispatcher) Cancel(id logic.RequestID, number int) {
 	if q := d.requests[id]; q != nil && q.openAttempt != nil && q.openAttempt.number == number {
--- a/internal/state/dispatcher_test.go
+++ b/internal/state/dispatcher_test.go
@@ -87,9 +87,13 @@
 
 func (fakeQuery) AppendTo(dst []byte, _ time.Duration) []byte { return dst }
 
-type fakeResponder struct{ answers []string }
+type fakeResponder struct {
+	answers []string
+	client  ClientPresence
+}
 
-func (c *fakeResponder) Served(body []byte) { c.answers = append(c.answers, "served "+string(body)) }
+func (c *fakeResponder) Client() ClientPresence { return c.client }
+func (c *fakeResponder) Served(body []byte)     { c.answers = append(c.answers, "served "+string(body)) }
 func (c *fakeResponder) Refused(d time.Duration) {
 	c.answers = append(c.answers, "refused "+d.String())
 }
