Fail a repeated id whose earlier request may have been executed

Cause: the ids of open requests are kept, so that two of one id are never out at once. With its client the request ended, its attempt was given up by closing the connection, and the id was forgotten, while the database might still execute it.

PROTOCOL has every request carry a new id, a client's retry included, and a request that is resent with its id was not read by the proxy, so no usual client meets this.

--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -13,6 +13,7 @@
 	Accepted, Served, Refused, Failed, Abandoned                 uint64 // requests accepted, and how they ended
 	Late                                                         uint64 // requests that ended more than lateTolerance after their deadline
 	RefusedForSize                                               uint64 // refusals for lack of memory
+	FailedAsRepeated                                             uint64 // requests with the id of one that may have been executed
 	NoTime, NoPrimary, Overload                                  uint64 // refusals by reason
 	Sent                                                         uint64 // attempts started
 	OK, Miss, Error, Full, TimedOut, ConnectFailed               uint64 // attempts by result
@@ -70,6 +71,7 @@
 		slog.Uint64("failed", c.Failed), slog.Uint64("abandoned", c.Abandoned), slog.Uint64("late", c.Late),
 		slog.Uint64("refused_no_time", c.NoTime), slog.Uint64("refused_no_primary", c.NoPrimary),
 		slog.Uint64("refused_crowded", c.Overload), slog.Uint64("refused_size", c.RefusedForSize),
+		slog.Uint64("failed_repeated", c.FailedAsRepeated),
 		slog.Uint64("sent", c.Sent), slog.Uint64("ok", c.OK), slog.Uint64("miss", c.Miss),
 		slog.Uint64("error", c.Error), slog.Uint64("full", c.Full), slog.Uint64("timed_out", c.TimedOut),
 		slog.Uint64("connect_failed", c.ConnectFailed), slog.Uint64("reset", c.Reset),
--- a/internal/state/dispatcher.go
+++ b/internal/state/dispatcher.go
@@ -105,6 +105,7 @@
 	requests             map[logic.RequestID]*request
 	queryBytes           int                 // total size of the large queries in requests
 	openClientRequestIDs map[string]struct{} // those of the open requests
+	executedIDs          executedIDs         // those of requests that have ended, where a second execution would do harm
 	timers               map[logic.TimerID]*Deadline
 
 	membersByName    map[string]*member
@@ -128,6 +129,7 @@
 	query           Query
 	queryBytes      int       // its size, if it is large
 	responder       Responder // nil once answered or abandoned
+	maybeExecuted   bool      // some attempt may have been executed
 	attempts        int       // number of attempts so far
 	openAttempt     *attempt  // the attempt that has not ended, at most one; nil = none
 }
@@ -149,7 +151,7 @@
 // New returns a Dispatcher with a new router. Start sets its Discovery and must be called before requests are accepted.
 func New(cfg Config, clock Clock, dialer Dialer) (*Dispatcher, error) {
 	d := &Dispatcher{cfg: cfg, classIndexes: map[string]int{}, clock: clock, dialer: dialer,
-		requests: map[logic.RequestID]*request{}, openClientRequestIDs: map[string]struct{}{},
+		requests: map[logic.RequestID]*request{}, openClientRequestIDs: map[string]struct{}{}, executedIDs: newExecutedIDs(),
 		timers:        map[logic.TimerID]*Deadline{},
 		membersByName: map[string]*member{}, membersByID: map[logic.MemberID]*member{}}
 	for i, c := range cfg.Logic.Classes {
@@ -222,9 +224,10 @@
 	return at
 }
 
-// Submit accepts a request and passes it to the router, or refuses it if it is too large to be held beside others now; the
-// id is 0 then. If it returns an error, because the class is unknown or another open request has the same ClientRequestID,
-// the request's Responder is not called.
+// Submit accepts a request and passes it to the router. It refuses a request that is too large to be held beside others now,
+// and fails one whose id is that of an earlier request that must not be executed twice; the result is 0 then. If it returns
+// an error, because the class is unknown or another open request has the same ClientRequestID, the request's Responder is
+// not called.
 func (d *Dispatcher) Submit(in Request) (logic.RequestID, error) {
 	class, ok := d.classIndexes[in.Class]
 	if !ok {
@@ -238,6 +241,10 @@
 	if in.QueryBytes >= largeQueryBytes {
 		large = in.QueryBytes
 	}
+	if in.ClientRequestID != "" && !d.repeatable(class) && d.executedIDs.contains(in.ClientRequestID) {
+		d.failRepeated(in.Responder)
+		return 0, nil
+	}
 	// Databases and deduplication keys could not tell two requests of one id apart, and one client would get the answer
 	// for the other.
 	if in.ClientRequestID != "" {
@@ -309,9 +316,26 @@
 		delete(d.requests, q.id)
 		delete(d.openClientRequestIDs, q.clientRequestID)
 		d.queryBytes -= q.queryBytes
+		if q.maybeExecuted && q.clientRequestID != "" && !d.repeatable(q.class) {
+			d.executedIDs.add(q.clientRequestID)
+		}
 	}
 }
 
+// repeatable reports whether requests of a class may be executed more than once.
+func (d *Dispatcher) repeatable(class int) bool {
+	return d.cfg.Logic.Classes[class].Effect == logic.EffectIdempotent
+}
+
+// failRepeated counts and fails a request whose id is that of one that may have been executed, and may be executed yet by a
+// database that has not noticed that its attempt was given up. It must not be executed again.
+func (d *Dispatcher) failRepeated(responder Responder) {
+	d.Counters.Accepted++
+	d.Counters.Failed++
+	d.Counters.FailedAsRepeated++
+	responder.Failed()
+}
+
 // answer passes the final answer to the client and ends the request. It does nothing and returns false for a request that
 // was answered or abandoned before. The reason is empty for a request that is served.
 func (d *Dispatcher) answer(id logic.RequestID, counter *uint64, ending, reason string, respond func(Responder)) bool {
@@ -423,6 +447,7 @@
 		a.connection = nil
 	}
 	d.Counters.countAttempt(r.Result)
+	q.maybeExecuted = q.maybeExecuted || !r.Result.NotExecuted()
 	a.target.recordReply(r, false)
 	switch {
 	case r.Result == logic.OK:
