Forget a group that has no members and no requests

Cause: the router kept a group for good for each number that a client named. In a large fleet such a group also counted as in use, since a group without members never has low traffic, and each tick walked all of them.

Evidence: TestTablesAreBoundedForKeysThatClientsChoose: before, 98,304 of 98,304 groups are kept and checked by each tick (in the small fleet they are listed for checking, too). Pins, commits and open writes were bounded before; that is checked now.

Change: a group counts its open requests, and is dropped with the last of them if it has no members; one without members is not checked.

--- a/logic/probing.go
+++ b/logic/probing.go
@@ -90,9 +90,9 @@
 func (r *Router) isLargeFleet() bool { return len(r.orderedMembers) > largeFleetSize }
 
 // markActive makes each tick in a large fleet check a group for as long as it has traffic, or probes or
-// attempts pending.
+// attempts pending. A group without members has nothing to check.
 func (r *Router) markActive(g *group) {
-	if !g.active {
+	if !g.active && len(g.members) > 0 {
 		g.active = true
 		r.active = append(r.active, g)
 	}
@@ -102,7 +102,7 @@
 // proxy's traffic and not with the size of the fleet.
 func (r *Router) checkActiveGroups(now time.Duration) {
 	r.active = slices.DeleteFunc(r.active, func(g *group) bool {
-		busy := !r.isLowTraffic(now, g)
+		busy := len(g.members) > 0 && !r.isLowTraffic(now, g)
 		for _, m := range g.members {
 			r.checkMember(now, m)
 			busy = busy || m.probing || len(m.inFlight) > 0
--- a/logic/router.go
+++ b/logic/router.go
@@ -141,6 +141,7 @@
 		g.changed = false
 		r.updatePrimary(g)
 		g.members = slices.DeleteFunc(g.members, func(m *member) bool { return r.members[m.ID] != m })
+		r.dropUnusedGroup(g)
 	}
 	clear(r.changed)
 	r.changed = r.changed[:0]
@@ -507,6 +508,7 @@
 	q := &request{Request: in, arrivedAt: now, class: &r.cfg.Classes[in.Class],
 		group: r.getOrCreateGroup(in.Group)}
 	r.requests[in.ID] = q
+	q.group.openRequests++
 	q.group.recentRequests.increment(now, requestRateWindow)
 	r.markActive(q.group)
 	r.applyQuota(now, q)
@@ -724,7 +726,7 @@
 // cancelled if Config.MayCancel is set.
 func (r *Router) forgetOrCancel(q *request) {
 	if !q.pending() {
-		delete(r.requests, q.ID)
+		r.forgetRequest(q)
 		return
 	}
 	for _, a := range q.attempts {
--- a/logic/state.go
+++ b/logic/state.go
@@ -84,7 +84,9 @@
 
 // group is the router's view of one replicated group.
 type group struct {
+	id             GroupID
 	members        []*member
+	openRequests   int     // number of its requests in Router.requests
 	primary        *member // nil if no usable primary is known
 	lastPrimary    *member // the last known primary, kept while it is unresponsive
 	meanWork       float64 // EWMA of the estimated service time per request, in seconds
@@ -164,11 +166,32 @@
 // getOrCreateGroup returns the group with an ID. It creates the group if necessary, even before it is listed.
 func (r *Router) getOrCreateGroup(id GroupID) *group {
 	if r.groups[id] == nil {
-		r.groups[id] = &group{}
+		r.groups[id] = &group{id: id}
 	}
 	return r.groups[id]
 }
 
+// dropUnusedGroup forgets a group without members and requests. Clients name groups, and may name ever new ones.
+func (r *Router) dropUnusedGroup(g *group) {
+	if len(g.members) > 0 || g.openRequests > 0 || r.groups[g.id] != g {
+		return
+	}
+	delete(r.groups, g.id)
+	if g.active {
+		g.active = false
+		r.active = slices.DeleteFunc(r.active, func(x *group) bool { return x == g })
+	}
+}
+
+// forgetRequest removes a request for which nothing is left to do.
+func (r *Router) forgetRequest(q *request) {
+	if r.requests[q.ID] == q {
+		delete(r.requests, q.ID)
+		q.group.openRequests--
+		r.dropUnusedGroup(q.group)
+	}
+}
+
 func (q *request) pinKey() pinKey { return pinKey{q.Session, q.Class, q.Group} }
 
 // hasTried tells whether any attempt of the request was sent to the member.
