Release the responses that a client has been sent

Cause: client.takeResponses moved the rest of the list of responses to its front and left the pointers behind its end. Each connection held the last up to 16 responses that it had been sent, of 64 KiB each, for as long as it lasted. The list of chunks that a socket has written did the same until all were.

Evidence: a heap profile at 28 MB live shows 25 MB of pg.AppendResult, while the totals of the server say that no response waits. TestSentResponsesAreReleased fails before.

Change: what is removed from the lists is cleared.

--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"container/list"
 	"errors"
+	"slices"
 	"time"
 
 	"havenproxy/internal/state"
@@ -396,7 +397,7 @@
 		}
 		output, joined = append(output, messages), small
 	}
-	c.responses = append(c.responses[:0], c.responses[n:]...)
+	c.responses = slices.Delete(c.responses, 0, n) // clears what it removes, so that no response is held
 	return output, closeAfter
 }
 
--- a/internal/net/slow_peer_test.go
+++ b/internal/net/slow_peer_test.go
@@ -238,3 +238,29 @@
 	}
 	time.Sleep(10 * time.Millisecond) // for a late report
 }
+
+// A connection held the last responses that its client had been sent for as long as it lasted.
+func TestSentResponsesAreReleased(t *testing.T) {
+	s, _, loop := startProxy(t, startDatabase(t, largeRow), 8, 1)
+	p := sendQueriesAtOnce(t, s, "a", 12)
+	p.readMessages(len(startupResponseTypes))
+	for range 12 {
+		if types, _ := p.readMessages(3); types != "DCZ" {
+			t.Fatal(types)
+		}
+	}
+	waitUntilQuiet(s, 1)
+	held := onLoop(loop, func() (held int) {
+		for c := range s.clients {
+			for _, resp := range c.responses[:cap(c.responses)] {
+				if resp != nil {
+					held += len(resp.messages)
+				}
+			}
+		}
+		return held
+	})
+	if held != 0 {
+		t.Errorf("%d bytes of sent responses are held", held)
+	}
+}
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -204,6 +204,7 @@
 		if s.output[0] = s.output[0][n:]; len(s.output[0]) > 0 {
 			return
 		}
+		s.output[0] = nil
 		s.output = s.output[1:]
 	}
 	s.output = nil
