Bound how many large input buffers are in use, and read the others' responses later

Cause: each connection took a buffer of 192 KiB for a message of more than 32 KiB, without a bound on their number and with a new allocation for each beyond eight spare ones. Hundreds of responses that came at once were read at once, and a connection to a database held its last response until its next query.

Change: two pools, for clients and for databases, bound how many large buffers are in use and reuse them. A client that would need one more is refused like one above the total, or waits; a connection to a database waits for its turn, while its response stays in the kernel's buffer and its time doesn't count. A response is dropped when it is passed on.

--- a/internal/net/buffer.go
+++ b/internal/net/buffer.go
@@ -1,6 +1,10 @@
 package net
 
-import "havenproxy/internal/wire/pg"
+import (
+	"container/list"
+
+	"havenproxy/internal/wire/pg"
+)
 
 const (
 	// maxIdleBufferBytes is the capacity of the largest buffer that a connection keeps while it is empty.
@@ -9,16 +13,17 @@
 	maxSmallBufferBytes = 2 * maxIdleBufferBytes
 	// largeBufferBytes is the capacity of a large buffer: for the largest message and what is read with its end.
 	largeBufferBytes = pg.MaxMessage + readBufferBytes
-	maxSpareBuffers  = 8
+	// maxIdleSpareBuffers is how many large buffers a pool keeps while none is in use.
+	maxIdleSpareBuffers = 4
 )
 
 // buffer is the input buffer of a connection. Bytes are added at its end and processed from its front. Large storage is
-// taken from the loop's spare buffers and returned to them, as many are needed in a burst, each for a moment.
+// taken from a pool and returned to it, as many are needed in a burst, each for a moment.
 //
 // Processed bytes are only skipped, and the rest moves when its storage is full: moving it for each message would take work
 // that grows with the square of what a peer sends.
 type buffer struct {
-	loop    *Loop
+	pool    *bufferPool
 	storage []byte
 	start   int // index in storage of the first byte that is not processed yet
 }
@@ -29,6 +34,18 @@
 // size returns the number of bytes that are not processed yet.
 func (b *buffer) size() int { return len(b.storage) - b.start }
 
+// room returns how many bytes of input may be added now, up to the size of one read. It is 0 if that takes a large buffer and
+// the pool has none.
+func (b *buffer) room() int {
+	if cap(b.storage) >= largeBufferBytes || b.pool.available() {
+		return readBufferBytes
+	}
+	return min(max(maxSmallBufferBytes-b.size(), 0), readBufferBytes)
+}
+
+// grow gives the buffer large storage.
+func (b *buffer) grow() { b.replace(b.pool.take()) }
+
 // append adds input to the buffer.
 func (b *buffer) append(in []byte) {
 	if len(b.storage)+len(in) > cap(b.storage) {
@@ -43,7 +60,7 @@
 	case needed <= cap(b.storage) && (b.start >= b.size() || cap(b.storage) >= largeBufferBytes):
 		b.replace(b.storage[:0])
 	case needed > maxSmallBufferBytes:
-		b.replace(b.loop.takeLargeBuffer())
+		b.replace(b.pool.take())
 	default:
 		b.replace(make([]byte, 0, min(max(needed, 2*b.size()), maxSmallBufferBytes)))
 	}
@@ -54,7 +71,7 @@
 	old := b.storage
 	b.storage, b.start = append(by, b.unprocessed()...), 0
 	if cap(old) > 0 && cap(b.storage) > 0 && &old[:1][0] != &b.storage[:1][0] {
-		b.loop.returnLargeBuffer(old)
+		b.pool.put(old)
 	}
 }
 
@@ -81,24 +98,46 @@
 
 // free drops all input and the memory for it.
 func (b *buffer) free() {
-	b.loop.returnLargeBuffer(b.storage)
+	b.pool.put(b.storage)
 	b.storage, b.start = nil, 0
 }
 
-// takeLargeBuffer returns an empty buffer of at least largeBufferBytes.
-func (l *Loop) takeLargeBuffer() []byte {
-	last := len(l.spareBuffers) - 1
+// bufferPool hands out large buffers, and bounds how many are in use at once.
+type bufferPool struct {
+	max     int // how many may be in use
+	inUse   int
+	spare   [][]byte
+	waiting list.List // of *databaseConn, those that need a buffer, in order
+}
+
+// available reports whether a buffer may be taken, after those that wait for one.
+func (p *bufferPool) available() bool { return p.inUse < p.max && p.waiting.Len() == 0 }
+
+// take returns an empty buffer of at least largeBufferBytes.
+func (p *bufferPool) take() []byte {
+	p.inUse++
+	last := len(p.spare) - 1
 	if last < 0 {
 		return make([]byte, 0, largeBufferBytes)
 	}
-	spare := l.spareBuffers[last]
-	l.spareBuffers = l.spareBuffers[:last]
+	spare := p.spare[last]
+	p.spare = p.spare[:last]
 	return spare
 }
 
-// returnLargeBuffer keeps a large buffer that is no longer used, up to maxSpareBuffers.
-func (l *Loop) returnLargeBuffer(b []byte) {
-	if cap(b) >= largeBufferBytes && len(l.spareBuffers) < maxSpareBuffers {
-		l.spareBuffers = append(l.spareBuffers, b[:0])
+// put takes back storage that is no longer used, if it is a large buffer. The connection that has waited for longest gets it.
+func (p *bufferPool) put(b []byte) {
+	if cap(b) < largeBufferBytes {
+		return
+	}
+	p.inUse--
+	p.spare = append(p.spare, b[:0])
+	if first := p.waiting.Front(); first != nil && p.inUse < p.max {
+		first.Value.(*databaseConn).bufferAvailable()
+		return
+	}
+	if p.inUse == 0 && len(p.spare) > maxIdleSpareBuffers {
+		clear(p.spare[maxIdleSpareBuffers:])
+		p.spare = p.spare[:maxIdleSpareBuffers]
 	}
 }
--- a/internal/net/buffer_test.go
+++ b/internal/net/buffer_test.go
@@ -38,7 +38,7 @@
 			}
 		},
 	} {
-		b := buffer{loop: &Loop{}}
+		b := buffer{pool: &bufferPool{max: 1}}
 		begin := time.Now()
 		if work(&b); time.Since(begin) > maxTime {
 			t.Errorf("%s: took %v", name, time.Since(begin))
@@ -48,7 +48,7 @@
 
 // Input keeps its bytes and their order however it is added and processed.
 func TestBufferKeepsItsBytes(t *testing.T) {
-	b := buffer{loop: &Loop{}}
+	b := buffer{pool: &bufferPool{max: 1}}
 	var added, processed byte
 	for step := range 20000 {
 		piece := make([]byte, step*7919%(readBufferBytes/8))
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -82,12 +82,13 @@
 		c.backlog.leftUnread(c.server.clock.Now())
 		return
 	}
+	room := c.input.room()
 	n, err := c.socket.read(&c.input)
 	if err != nil {
 		c.close()
 		return
 	}
-	c.backlog.read(c.server.clock.Now(), n, n < readBufferBytes, c.server.loop.polledBefore)
+	c.backlog.read(c.server.clock.Now(), n, n < room, c.server.loop.polledBefore)
 	c.processInput()
 }
 
@@ -117,11 +118,19 @@
 	}
 	c.updateQueryTimer(handled > 0)
 	c.accountBuffer()
-	if reason == notWaiting && !c.resuming && c.server.inputFull() && c.input.size() > maxIdleBufferBytes {
+	if c.lacksMemory(reason) {
 		c.rejectPartialQuery()
 	}
 }
 
+// lacksMemory reports whether there is no memory for the rest of a partial query that could be submitted.
+func (c *client) lacksMemory(reason waitReason) bool {
+	if c.resuming || reason == waitsForOwn || reason == waitsForOthers {
+		return false
+	}
+	return c.input.room() == 0 || c.server.inputFull() && c.input.size() > maxIdleBufferBytes
+}
+
 // rejectPartialQuery closes the connection of a client that has sent a part of a query for which there is no memory.
 func (c *client) rejectPartialQuery() {
 	c.server.dispatcher.Counters.ClientsRejected++ // the partial query has not been accepted as a request
--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -1,6 +1,7 @@
 package net
 
 import (
+	"container/list"
 	"errors"
 	"log/slog"
 	stdnet "net"
@@ -68,12 +69,13 @@
 	closed           bool
 	responseTimer    state.Deadline // set while a response is incomplete
 	responseStarted  bool
-	responseExtended bool // responseTimer has been set for a second time
+	responseExtended bool          // responseTimer has been set for a second time
+	bufferElement    *list.Element // its element in the queue of those that need a large buffer, or nil
 }
 
 // Dial implements state.Dialer.
 func (d *DatabaseDialer) Dial(address string, handler state.ConnHandler) state.Conn {
-	db := &databaseConn{dialer: d, address: address, handler: handler, input: buffer{loop: d.Loop}}
+	db := &databaseConn{dialer: d, address: address, handler: handler, input: buffer{pool: &d.Loop.databaseBuffers}}
 	db.cancelDial = dial(d.Loop, address, d.ConnectTimeout, db, db.onConnected)
 	return db
 }
@@ -155,6 +157,7 @@
 		return
 	}
 	db.closed = true
+	db.leaveBufferQueue()
 	db.input.free()
 	db.clearResponseTimer()
 	db.cancelDial()
@@ -179,6 +182,10 @@
 
 // onReadable implements socketHandler. It processes a limited part of the available input, up to the end of a response.
 func (db *databaseConn) onReadable() {
+	if db.input.room() == 0 {
+		db.awaitBuffer()
+		return
+	}
 	if _, err := db.socket.read(&db.input); err != nil {
 		db.connectionLost()
 		return
@@ -210,6 +217,34 @@
 	}
 }
 
+// awaitBuffer leaves the rest of a large response in the kernel's buffer until others are complete. That time doesn't count
+// as the database's.
+func (db *databaseConn) awaitBuffer() {
+	if db.bufferElement != nil {
+		return
+	}
+	db.bufferElement = db.input.pool.waiting.PushBack(db)
+	db.socket.pauseReading(true)
+	db.clearResponseTimer()
+}
+
+// bufferAvailable continues to read a response for which there is a large buffer now.
+func (db *databaseConn) bufferAvailable() {
+	db.leaveBufferQueue()
+	db.input.grow()
+	db.socket.pauseReading(false)
+	db.responseStarted = true
+	db.setResponseTimer()
+}
+
+// leaveBufferQueue removes the connection from the queue of those that need a large buffer, if it is there.
+func (db *databaseConn) leaveBufferQueue() {
+	if db.bufferElement != nil {
+		db.input.pool.waiting.Remove(db.bufferElement)
+		db.bufferElement = nil
+	}
+}
+
 // setResponseTimer limits the wait for the rest of a response.
 func (db *databaseConn) setResponseTimer() {
 	loop := db.dialer.Loop
@@ -248,6 +283,9 @@
 		return
 	}
 	db.notify(func() { db.handler.Reply(r) })
+	if !db.awaitingResponse {
+		db.reply.Reset() // a connection that rests holds no large response
+	}
 }
 
 // abortMalformed closes a connection on which malformed data has arrived and valid data can't be recognized any more.
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -15,6 +15,13 @@
 // from others, and adds no more than this to what is buffered for its connection.
 const readBufferBytes = 32 << 10
 
+const (
+	// defaultInputBytes is the memory for large input buffers where no limit is set.
+	defaultInputBytes = 32 << 20
+	// minLargeBuffers is how many large buffers of each kind may be in use however small the limit is.
+	minLargeBuffers = 4
+)
+
 // Loop is the event loop. Its goroutine owns the router and the state of all connections, waits for all their sockets
 // and runs their callbacks one at a time. Nothing on it may wait for a peer.
 type Loop struct {
@@ -25,9 +32,10 @@
 	sockets    map[uint64]*socket // open sockets by poller id
 	events     []polledEvent
 	readBuffer []byte
-	// spareBuffers are large input buffers that no connection uses.
-	spareBuffers [][]byte
-	sharedDepth  int // calls of the dispatcher in progress
+	// clientBuffers and databaseBuffers are the large input buffers of the two kinds of connections.
+	clientBuffers   bufferPool
+	databaseBuffers bufferPool
+	sharedDepth     int // calls of the dispatcher in progress
 	// polledAt and polledBefore are when the current wait for events returned, and the one before it.
 	polledAt, polledBefore time.Duration
 	stopped                bool
@@ -44,8 +52,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Loop{clock: clock, deadlines: deadlines, stalls: stallMonitor{counters: counters}, poller: poller,
-		sockets: map[uint64]*socket{}, readBuffer: make([]byte, readBufferBytes)}, nil
+	l := &Loop{clock: clock, deadlines: deadlines, stalls: stallMonitor{counters: counters}, poller: poller,
+		sockets: map[uint64]*socket{}, readBuffer: make([]byte, readBufferBytes)}
+	l.LimitInput(defaultInputBytes)
+	return l, nil
+}
+
+// LimitInput sets how much memory the large buffers for input from clients may take, in bytes. Those for the responses of
+// databases may take half as much.
+func (l *Loop) LimitInput(size int) {
+	l.clientBuffers.max = max(size/largeBufferBytes, minLargeBuffers)
+	l.databaseBuffers.max = max(size/2/largeBufferBytes, minLargeBuffers)
 }
 
 // Post queues f to run on the loop. It may be called from any goroutine.
--- a/internal/net/pipeline.go
+++ b/internal/net/pipeline.go
@@ -80,8 +80,11 @@
 
 // maxHeldInput returns how much input may be held while the next query waits: none if all clients together hold too much.
 func (c *client) maxHeldInput() int {
-	if c.server.inputFull() {
+	switch {
+	case c.server.inputFull():
 		return 0
+	case c.input.room() < readBufferBytes:
+		return maxSmallBufferBytes
 	}
 	return maxHeldInputBytes
 }
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -103,7 +103,7 @@
 // accept creates the client of a new connection, before any of its input is read.
 func (s *Server) accept(fd int, acceptedAt time.Duration) {
 	setClientOptions(fd)
-	c := &client{server: s, input: buffer{loop: s.loop}}
+	c := &client{server: s, input: buffer{pool: &s.loop.clientBuffers}}
 	var err error
 	if c.socket, err = newSocket(s.loop, fd, c, nil); err != nil {
 		s.listener.open.Add(-1)
--- a/internal/net/slow_peer_test.go
+++ b/internal/net/slow_peer_test.go
@@ -264,3 +264,41 @@
 		t.Errorf("%d bytes of sent responses are held", held)
 	}
 }
+
+// A connection to a database held its last response for as long as it rested, and all of them read their responses at once.
+func TestResponsesOfDatabasesAreReadWithFewBuffers(t *testing.T) {
+	s, _, loop := startProxy(t, startDatabase(t, largeRow), 40, 1)
+	onLoop(loop, func() bool { loop.databaseBuffers.max = 2; return true })
+	var peers []*peer
+	release := blockLoop(loop)
+	for i := range 20 {
+		p := dialProxy(t, s)
+		p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), queryText(fmt.Sprint("q", i))))
+		peers = append(peers, p)
+	}
+	release()
+	served := 0
+	for _, p := range peers {
+		types, _ := p.readMessages(len(startupResponseTypes) + 2)
+		if strings.HasSuffix(types, "DC") {
+			served++
+		} else if !strings.HasSuffix(types, "EZ") { // refused for lack of a connection
+			t.Errorf("a client got %q", types)
+		}
+	}
+	if served < 10 {
+		t.Errorf("%d of %d clients were served", served, len(peers))
+	}
+	waitOnLoop(t, loop, func() bool { return s.dispatcher.OpenRequests() == 0 })
+	onLoop(loop, func() bool {
+		if pool := &loop.databaseBuffers; pool.inUse != 0 || pool.waiting.Len() != 0 || len(pool.spare) > 2 {
+			t.Errorf("%d buffers in use, %d spare, %d connections wait", pool.inUse, len(pool.spare), pool.waiting.Len())
+		}
+		for _, socket := range loop.sockets {
+			if db, ok := socket.handler.(*databaseConn); ok && cap(db.reply.Body) > maxIdleBufferBytes {
+				t.Errorf("a resting connection holds a response of %d bytes", cap(db.reply.Body))
+			}
+		}
+		return true
+	})
+}
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -116,11 +116,15 @@
 	done(err)
 }
 
-// read appends input to the buffer, at most len(Loop.readBuffer) bytes, and returns how many. It reads nothing if no input
-// has arrived, and returns io.EOF at the end of the stream.
+// read appends input to the buffer, at most as many bytes as it has room for, and returns how many. It reads nothing if no
+// input has arrived or the buffer has no room, and returns io.EOF at the end of the stream.
 func (s *socket) read(into *buffer) (int, error) {
+	room := into.room()
+	if room == 0 {
+		return 0, nil
+	}
 	for {
-		n, err := unix.Read(s.fd, s.loop.readBuffer)
+		n, err := unix.Read(s.fd, s.loop.readBuffer[:room])
 		switch {
 		case err == unix.EINTR:
 			continue
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -171,6 +171,7 @@
 	if p.loop, err = net.NewLoop(p.clock, &p.dispatcher.Deadlines, &p.dispatcher.Counters); err != nil {
 		return nil, err
 	}
+	p.loop.LimitInput(maxBuffered)
 	dialer.Loop, dialer.Counters = p.loop, &p.dispatcher.Counters
 	p.server = net.NewServer(p.loop, p.clock, p.dispatcher, clients, excess, maxBuffered)
 	if err := p.server.Bind(cfg.Listen); err != nil {
