--- a/cmd/havenproxy/crowd_test.go
+++ b/cmd/havenproxy/crowd_test.go
@@ -102,7 +102,7 @@
 func TestCrowdOfPartialInputKeepsToTheMemoryLimit(t *testing.T) {
 	for name, input := range partialInputs {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
+			runBeside(t)
 			fleet := startDatabases(t, 12, 20*time.Millisecond)
 			fleet.value = largestValue
 			service := startDiscovery(t, fleet)
--- a/cmd/havenproxy/process_test.go
+++ b/cmd/havenproxy/process_test.go
@@ -32,6 +32,17 @@
 	os.Exit(m.Run())
 }
 
+// besideOthers holds a place for each test that runs beside others; the stand-ins of each take a core or two.
+var besideOthers = make(chan struct{}, 4)
+
+// runBeside lets a test run beside a few others.
+func runBeside(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	besideOthers <- struct{}{}
+	t.Cleanup(func() { <-besideOthers })
+}
+
 // defaultMemoryMB is the memory limit of proxies in tests that don't set one.
 const defaultMemoryMB = 192
 
--- a/cmd/havenproxy/standins_test.go
+++ b/cmd/havenproxy/standins_test.go
@@ -27,6 +27,18 @@
 
 	workTime time.Duration // how long a request takes
 	value    string        // what a request returns; empty = the server's name
+	// answerInstead, unless nil, returns the answer to a request after its work; nil = the connection is reset.
+	answerInstead func(id string) []byte
+
+	mu       sync.Mutex
+	attempts map[string][]time.Time // when each attempt arrived at any server, by the request's id
+}
+
+// attemptsOf returns when the attempts of a request arrived.
+func (f *databaseFleet) attemptsOf(id string) []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.attempts[id])
 }
 
 // databaseServer is one stand-in database of a fleet.
@@ -46,7 +58,7 @@
 // startDatabases starts count databases, which stop at the end of the test.
 func startDatabases(t *testing.T, count int, workTime time.Duration) *databaseFleet {
 	t.Helper()
-	fleet := &databaseFleet{workTime: workTime}
+	fleet := &databaseFleet{workTime: workTime, attempts: map[string][]time.Time{}}
 	for i := range count {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -89,14 +101,19 @@
 			return
 		}
 		text, _ := pg.QueryText(message)
-		if _, err := conn.Write(s.answer(string(text))); err != nil {
+		answer := s.answer(string(text))
+		if answer == nil {
+			conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		if _, err := conn.Write(answer); err != nil {
 			return
 		}
 	}
 }
 
 // answer returns the load report for a probe, and otherwise the server's name as the one value, after workTime where the
-// query carries a routing comment.
+// query carries a routing comment. It returns nil if the connection is to be reset.
 func (s *databaseServer) answer(text string) []byte {
 	if text == "SHOW load" {
 		s.mu.Lock()
@@ -113,7 +130,13 @@
 		s.mu.Lock()
 		s.arrivals[statement.ID] = time.Now()
 		s.mu.Unlock()
+		s.fleet.mu.Lock()
+		s.fleet.attempts[statement.ID] = append(s.fleet.attempts[statement.ID], time.Now())
+		s.fleet.mu.Unlock()
 		time.Sleep(s.fleet.workTime)
+		if s.fleet.answerInstead != nil {
+			return s.fleet.answerInstead(statement.ID)
+		}
 	}
 	return s.appendRole(appendRow(nil, cmp.Or(s.fleet.value, s.name)))
 }
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -128,7 +128,7 @@
 	if c.resuming || reason == waitsForOwn || reason == waitsForOthers {
 		return false
 	}
-	return c.input.room() == 0 || c.server.inputFull() && c.input.size() > maxIdleBufferBytes
+	return c.input.room() == 0 || c.server.inputFull() && c.input.size() > c.server.inputShare()
 }
 
 // rejectPartialQuery closes the connection of a client that has sent a part of a query for which there is no memory.
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -24,6 +24,8 @@
 	idleTimeout      = 2 * time.Second
 	idleLimitDivisor = 3 // above 1/idleLimitDivisor of the maximum, idle clients are closed in advance
 
+	minInputShare = 2 << 10 // bytes; a small query is accepted whatever the number of clients
+
 	fullLogInterval  = 10 * time.Second // minimum time between log lines about too many clients
 	maxLoggedClients = 3                // the first connections after a start are logged
 )
@@ -43,7 +45,7 @@
 	idle             list.List // no response pending, longest idle first
 	closing          list.List // write side closed, waiting for the client to close
 	bufferedBytes    int       // input of all clients that is not processed yet
-	maxBufferedBytes int       // above it, a client with more than maxIdleBufferBytes of input is rejected
+	maxBufferedBytes int       // above it, a client with more than its inputShare is rejected
 	// pipelinedBytes is the memory for responses that clients don't read at once, and for those to queries that they sent
 	// ahead of a response. No further query is handled ahead if that may take it above maxPipelinedBytes.
 	pipelinedBytes    int
@@ -145,6 +147,12 @@
 // inputFull reports whether the input that waits for the rest of its query takes too much memory.
 func (s *Server) inputFull() bool { return s.bufferedBytes > s.maxBufferedBytes }
 
+// inputShare returns how much of a partial query a client may hold while all clients together hold too much. The shares of
+// all clients take no more than that total once more.
+func (s *Server) inputShare() int {
+	return min(max(s.maxBufferedBytes/s.maxClients, minInputShare), maxIdleBufferBytes)
+}
+
 // atCapacity reports whether the maximum number of clients is connected.
 func (s *Server) atCapacity() bool {
 	return len(s.clients)-s.excessClients >= s.maxClients
