--- a/cmd/havenproxy/crowd_test.go
+++ b/cmd/havenproxy/crowd_test.go
@@ -81,9 +81,12 @@
 }
 
 // largeWrite returns a query that writes a value of the largest size.
-func largeWrite(id int) []byte {
-	value := `'\x` + strings.Repeat("9f", 64<<10) + "' <> '' AND '"
-	return pg.AppendQuery(nil, strings.Replace(writeQuery(1<<20+id, 3*time.Second, id%2), "'", value, 1))
+func largeWrite(id int) []byte { return pg.AppendQuery(nil, largeWriteText(1<<20+id, id%2)) }
+
+// largeWriteText returns the text of a write of a value of the largest size.
+func largeWriteText(id, group int) string {
+	value := `'\x` + strings.Repeat("9f", len(largestValue)) + "' <> '' AND '"
+	return strings.Replace(writeQuery(id, 3*time.Second, group), "'", value, 1)
 }
 
 // writeSlowly writes in pieces with pauses.
--- a/cmd/havenproxy/full_speed_test.go
+++ b/cmd/havenproxy/full_speed_test.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -90,9 +88,9 @@
 	go func() { sent <- sendAtFullSpeed(p, end, query, reads) }()
 	load := newLoadGenerator(p)
 	load.run(duration/2, 20*time.Millisecond, 2)
-	half := p.memoryMB(t)
+	half := p.statusMB(t, "VmRSS")
 	load.run(duration/2, 20*time.Millisecond, 2)
-	grown := p.memoryMB(t) - half
+	grown := p.statusMB(t, "VmRSS") - half
 	t.Logf("one client sent %d queries; the proxy holds %.1f MB, %.1f MB more than half way", <-sent, half+grown, grown)
 	load.checkNoneLost(t)
 	if grown > steadyGrowthMB {
@@ -103,20 +101,6 @@
 	}
 }
 
-// memoryMB returns the memory that the process holds now, in MB.
-func (p *proxyProcess) memoryMB(t *testing.T) (heldMB float64) {
-	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, line, _ := bytes.Cut(status, []byte("VmRSS:"))
-	if _, err := fmt.Sscan(string(line), &heldMB); err != nil {
-		t.Fatal(err)
-	}
-	return heldMB / 1024
-}
-
 // sendAtFullSpeed sends queries on one connection until the end, or on a new one where the proxy closes it. It returns how
 // many it has sent.
 func sendAtFullSpeed(p *proxyProcess, end time.Time, query func(int) string, reads bool) (sent int) {
--- a/cmd/havenproxy/memory_test.go
+++ b/cmd/havenproxy/memory_test.go
@@ -153,6 +153,5 @@
 	if client%4 != 0 {
 		return readQuery(id, "session", 2*time.Second, group)
 	}
-	value := `'\x` + strings.Repeat("9f", len(largestValue)) + "' <> '' AND '"
-	return strings.Replace(writeQuery(id, 3*time.Second, group), "'", value, 1)
+	return largeWriteText(id, group)
 }
--- a/cmd/havenproxy/process_test.go
+++ b/cmd/havenproxy/process_test.go
@@ -290,18 +290,25 @@
 // kill ends the process and returns the most memory that it has held, in MB. The resource usage of an ended process would
 // include what this test program held when it started the process.
 func (p *proxyProcess) kill(t *testing.T) (peakMB float64) {
+	t.Helper()
+	peakMB = p.statusMB(t, "VmHWM")
+	p.command.Process.Kill()
+	<-p.exited
+	return peakMB
+}
+
+// statusMB returns a size that the kernel tells of the process, in MB: VmRSS is what it holds, VmHWM the most that it has held.
+func (p *proxyProcess) statusMB(t *testing.T, name string) (size float64) {
 	t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, line, _ := bytes.Cut(status, []byte("VmHWM:"))
-	if _, err := fmt.Sscan(string(line), &peakMB); err != nil {
+	_, line, _ := bytes.Cut(status, []byte(name+":"))
+	if _, err := fmt.Sscan(string(line), &size); err != nil {
 		t.Fatal(err)
 	}
-	p.command.Process.Kill()
-	<-p.exited
-	return peakMB / 1024
+	return size / 1024
 }
 
 // awaitReady waits until the proxy answers an empty query.
