Let the table of executed ids use the cache that the router's tables use

Cause: a last reading of the change. executedIDs had a ring of its own beside logic.fifoCache, which does the same; makeRoom repeated buffer.grow; setWaiting asked for a condition that follows from the other; two comments were no longer true. Behaviour is unchanged. The test of executed ids asks the cache for its length instead of the two slices that are gone.

--- a/internal/net/buffer.go
+++ b/internal/net/buffer.go
@@ -60,7 +60,7 @@
 	case needed <= cap(b.storage) && (b.start >= b.size() || cap(b.storage) >= largeBufferBytes):
 		b.replace(b.storage[:0])
 	case needed > maxSmallBufferBytes:
-		b.replace(b.pool.take())
+		b.grow()
 	default:
 		b.replace(make([]byte, 0, min(max(needed, 2*b.size()), maxSmallBufferBytes)))
 	}
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -207,7 +207,7 @@
 	}
 }
 
-// abandon abandons the request of a response, if it is open. One that is being submitted has no id yet, and handleQuery
+// abandon abandons the request of a response, if it is open. One that is being submitted has no id yet, and submit
 // abandons it.
 func (c *client) abandon(resp *pendingResponse) {
 	if !resp.done && resp.id != 0 {
--- a/internal/net/pipeline.go
+++ b/internal/net/pipeline.go
@@ -47,10 +47,9 @@
 
 // setWaiting records why the next query has to wait, if it has to.
 func (c *client) setWaiting(reason waitReason) {
-	if reason != c.waiting || reason != waitsForOthers {
+	if reason != waitsForOthers {
 		c.leaveMemoryQueue()
-	}
-	if reason == waitsForOthers && c.memoryQueueElement == nil {
+	} else if c.memoryQueueElement == nil {
 		c.memoryQueueElement = c.server.memoryQueue.PushBack(c)
 	}
 	c.waiting = reason
--- a/internal/state/dispatcher.go
+++ b/internal/state/dispatcher.go
@@ -18,8 +18,8 @@
 // directions.
 const clientRoundTripReserve = 5 * time.Millisecond
 
-// Responder receives the answer to one request. Exactly one of its methods is called, once, unless the request is
-// abandoned first.
+// Responder receives the answer to one request. Exactly one of Served, Refused and Failed is called, once, unless the request
+// is abandoned first.
 type Responder interface {
 	Client() ClientPresence           // asked before each attempt is sent
 	Served(body []byte)               // the body of a database's reply, valid during the call only
--- a/internal/state/executed_ids_test.go
+++ b/internal/state/executed_ids_test.go
@@ -83,8 +83,8 @@
 		ids.add(fmt.Sprint(i))
 		ids.add(fmt.Sprint(i))
 	}
-	if len(ids.hashes) != maxExecutedIDs || len(ids.order) != maxExecutedIDs {
-		t.Errorf("%d hashes in %d places", len(ids.hashes), len(ids.order))
+	if ids.hashes.Len() != maxExecutedIDs {
+		t.Errorf("%d hashes are held", ids.hashes.Len())
 	}
 	for i := range 3 * maxExecutedIDs {
 		if ids.contains(fmt.Sprint(i)) != (i >= 2*maxExecutedIDs) {
--- a/logic/invariants_test.go
+++ b/logic/invariants_test.go
@@ -514,8 +514,8 @@
 		r.Outcome(now, Outcome{Request: id, Member: 1, Result: OK, Answered: true, Role: RoleReplica,
 			Position: now})
 	}
-	if len(r.requests) > 0 || len(r.pins.values) > maxSessionEntries {
-		b.Fatalf("%d requests, %d pins kept", len(r.requests), len(r.pins.values))
+	if len(r.requests) > 0 || r.pins.Len() > maxSessionEntries {
+		b.Fatalf("%d requests, %d pins kept", len(r.requests), r.pins.Len())
 	}
 }
 
--- a/logic/probing.go
+++ b/logic/probing.go
@@ -277,7 +277,7 @@
 	r.rng.Shuffle(len(candidates), func(i, j int) {
 		candidates[i], candidates[j] = candidates[j], candidates[i]
 	})
-	if pinned, ok := r.pins.get(q.pinKey()); ok && slices.Contains(candidates, pinned.replica) {
+	if pinned, ok := r.pins.Get(q.pinKey()); ok && slices.Contains(candidates, pinned.replica) {
 		candidates[0] = pinned.replica
 	} else if i := slices.Index(candidates, q.group.primary); i > 0 { // it serves the request if no replica can
 		candidates[0], candidates[i] = candidates[i], candidates[0]
--- a/logic/router.go
+++ b/logic/router.go
@@ -15,6 +15,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"havenproxy/internal/fifocache"
 )
 
 const (
@@ -90,8 +92,8 @@
 		requests: map[RequestID]*request{}, openWrites: map[SessionID]int{},
 		serviceTime: make([]time.Duration, len(cfg.Classes)), overdueAfter: make([]time.Duration, len(cfg.Classes)),
 		tenantUsage: make([]decayingCounter, len(cfg.Tenants)), retryTokens: maxRetryTokens}
-	r.pins.init(maxSessionEntries)
-	r.commits.init(maxSessionEntries)
+	r.pins = fifocache.New[pinKey, pin](maxSessionEntries)
+	r.commits = fifocache.New[SessionID, time.Duration](maxSessionEntries)
 	for i, c := range cfg.Classes {
 		r.serviceTime[i], r.overdueAfter[i] = c.TargetLatency/targetPerServiceTime, c.TargetLatency
 		if c.RequiredFreshness == FreshnessBounded && (r.minMaxAge == 0 || c.MaxAge < r.minMaxAge) {
@@ -393,7 +395,7 @@
 		}
 		return groupPrimary, RefusedNoTime
 	}
-	if pinned, ok := r.pins.get(q.pinKey()); ok && q.Session != 0 && pinned.term == q.group.term &&
+	if pinned, ok := r.pins.Get(q.pinKey()); ok && q.Session != 0 && pinned.term == q.group.term &&
 		r.isEligibleReplica(now, q, pinned.replica) && q.isFreshEnough(pinned.replica, now) &&
 		!r.overloaded(now, pinned.replica, fraction) &&
 		r.withinColdBudget(now, pinned.replica) {
@@ -556,7 +558,7 @@
 		}
 		return 0
 	}
-	token, ok := r.commits.get(in.Session)
+	token, ok := r.commits.Get(in.Session)
 	if !ok {
 		token = r.newestEvictedCommit
 	}
@@ -838,7 +840,7 @@
 		r.updateFailureRate(now, m, 0)
 		r.lostAnswerRate -= lostAnswerWeight * r.lostAnswerRate
 		if q.class.RequiredFreshness != FreshnessWrite && q.Session != 0 && m.role == RoleReplica {
-			r.pins.put(q.pinKey(), pin{m, q.group.term})
+			r.pins.Put(q.pinKey(), pin{m, q.group.term})
 		}
 	case TimedOut:
 		if !r.losesAnswers(m) {
@@ -876,8 +878,8 @@
 // recordCommit records a commit of a session, if it is the newest. If the commit is 0 (unknown), it is
 // taken to be as late as now.
 func (r *Router) recordCommit(session SessionID, commit, now time.Duration) {
-	previous, _ := r.commits.get(session)
-	evicted, _ := r.commits.put(session, max(previous, cmp.Or(commit, now)))
+	previous, _ := r.commits.Get(session)
+	evicted, _ := r.commits.Put(session, max(previous, cmp.Or(commit, now)))
 	r.newestEvictedCommit = max(r.newestEvictedCommit, evicted)
 }
 
--- a/logic/router_test.go
+++ b/logic/router_test.go
@@ -176,7 +176,7 @@
 	if got := f.router.sessionToken(f.now, &Request{Session: 1}); got != f.now {
 		t.Errorf("the token of an evicted session is %v, want the newest evicted commit %v", got, f.now)
 	}
-	if n := len(f.router.commits.values); n != maxSessionEntries {
+	if n := f.router.commits.Len(); n != maxSessionEntries {
 		t.Errorf("%d commits kept, want %d", n, maxSessionEntries)
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"havenproxy/internal/fifocache"
 )
 
 // This file defines the state of a router; router.go, probing.go and discovery.go operate on it.
@@ -28,10 +30,10 @@
 	changed             []*group             // groups that the list being handled has changed
 	requests            map[RequestID]*request
 	waiting             []*request // requests that wait for probe results or the next tick
-	pins                fifoCache[pinKey, pin]
-	commits             fifoCache[SessionID, time.Duration] // the newest known commit of each session
-	newestEvictedCommit time.Duration                       // the newest commit evicted from commits
-	openWrites          map[SessionID]int                   // number of writes in flight, for sessions with any
+	pins                *fifocache.Cache[pinKey, pin]
+	commits             *fifocache.Cache[SessionID, time.Duration] // the newest known commit of each session
+	newestEvictedCommit time.Duration                              // the newest commit evicted from commits
+	openWrites          map[SessionID]int                          // number of writes in flight, for sessions with any
 
 	serviceTime       []time.Duration   // per class, estimated answer time without queueing
 	overdueAfter      []time.Duration   // per class, the time after which an answer is overdue
--- a/logic/table_bounds_test.go
+++ b/logic/table_bounds_test.go
@@ -29,9 +29,9 @@
 			t.Errorf("%d groups listed: %d groups, %d of them active, %d requests and %d waiting are kept", groups,
 				len(r.groups), len(r.active), len(r.requests), len(r.waiting))
 		}
-		if len(r.pins.values) > maxSessionEntries || len(r.commits.values) > maxSessionEntries || len(r.openWrites) != 0 {
+		if r.pins.Len() > maxSessionEntries || r.commits.Len() > maxSessionEntries || len(r.openWrites) != 0 {
 			t.Errorf("%d groups listed: %d pins, %d commits and %d open writes are kept", groups,
-				len(r.pins.values), len(r.commits.values), len(r.openWrites))
+				r.pins.Len(), r.commits.Len(), len(r.openWrites))
 		}
 	}
 }
