Play floods of clients on separate processes, and judge the others' answers by their time

Proxy, flood and measurement are processes on cores of their own, so that the play's load delays no answer that it judges; the longest own delay is part of each result. A share of a core is kept as the platform does it: a process that has used its share is stopped until the period of 50 ms ends. An answer is late if it comes more than the operators' 50 ms after the client's own time. The plays are run by hand (HAVENPROXY_FLOOD_PLAYS, HAVENPROXY_FLOOD_PROGRAMS); no fix yet.

--- a/cmd/havenproxy/process_test.go
+++ b/cmd/havenproxy/process_test.go
@@ -25,6 +25,17 @@
 const proxyProcessEnv = "HAVENPROXY_TEST_PROCESS"
 
 func TestMain(m *testing.M) {
+	if os.Getenv(programEnv) != "" {
+		fmt.Fprintln(os.Stderr, becomeProgram())
+		os.Exit(1)
+	}
+	if text := os.Getenv(floodEnv); text != "" {
+		if err := runFlood(text); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
 	if os.Getenv(proxyProcessEnv) != "" {
 		main()
 		os.Exit(0)
@@ -54,6 +65,9 @@
 	sockets     int            // limit on descriptors
 	memoryMB    int            // limit on memory; 0 = defaultMemoryMB
 	cpuShare    float64        // share of a core; 0 = unlimited
+	cpuQuota    float64        // share of a core, above which it is stopped in each quotaPeriod; 0 or 1 = unlimited
+	cores       string         // cores that it runs on, separated by commas; empty = all
+	program     string         // the program of another build; empty = this one
 	address     string         // the address to listen on; empty = a free one
 	log         io.Writer      // where its log goes; nil = proxyProcess.log
 }
@@ -128,8 +142,13 @@
 	p := &proxyProcess{address: options.address, started: time.Now(), exited: make(chan struct{}),
 		configPath: filepath.Join(t.TempDir(), "config.json"), options: options}
 	p.writeConfig(t)
-	p.command = exec.Command(os.Args[0])
-	p.command.Env = append(os.Environ(), proxyProcessEnv+"=1", "EDGE_CONFIG="+p.configPath)
+	program := cmp.Or(options.program, os.Args[0])
+	environment := []string{proxyProcessEnv + "=1", "EDGE_CONFIG=" + p.configPath}
+	p.command = exec.Command(program)
+	p.command.Env = append(os.Environ(), environment...)
+	if options.cores != "" {
+		p.command = onCores(options.cores, program, environment...)
+	}
 	p.command.Stderr = p
 	if options.log != nil {
 		p.command.Stderr = options.log
@@ -141,6 +160,9 @@
 	if options.cpuShare > 0 {
 		go p.throttle(options.cpuShare)
 	}
+	if options.cpuQuota > 0 && options.cpuQuota < 1 {
+		go limitCPU(p.command.Process, options.cpuQuota, p.exited)
+	}
 	t.Cleanup(func() {
 		p.command.Process.Kill()
 		<-p.exited
