Accept connections on the event loop, a limited number in a turn

Callers saw: while one client connected and closed at full speed (empty, after a startup message, a cancel request or a query), others were answered late, or their new connections were reset.

Cause: a goroutine accepted ahead of the loop and posted each connection, without a bound.

Change: the loop accepts, at most 16 connections in a turn; others wait in the kernel, and those made before a stop are still accepted. A connection that its client has closed already is closed without becoming a client. The options of accepted sockets are inherited from the listening one. Counters: left_at_once, shut_unread, accept_errors.

Changed tests: the one on silent clients waited until the accept was posted to the loop, which no longer happens; the connection waits in the kernel instead, with the same order of events. The one on abandoned dials took any socket of the loop for that of the dial, and now takes the one that is being dialed, as the listener has one too.

--- a/cmd/havenproxy/flood_test.go
+++ b/cmd/havenproxy/flood_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -55,6 +56,7 @@
 	LongestTurn                   string  // of the event loop, as the proxy tells it
 	OwnDelayMS                    float64 // of the test
 	FloodQueries                  string
+	LostBy                        map[string]int // how many connections ended without an answer, by their errors
 }
 
 // allFloodPlays returns every kind of flood with each number of clients.
@@ -183,6 +185,7 @@
 type otherConn struct {
 	net.Conn
 	reader messageReader
+	ended  bool // a fatal error has come
 }
 
 // newConnEvery is which requests open a new connection although others are idle.
@@ -231,7 +234,7 @@
 		got = answer{code: err.Error(), lost: true}
 	}
 	got.took = time.Since(begin)
-	if conn != nil && !got.lost {
+	if conn != nil && !got.lost && !conn.ended {
 		o.mu.Lock()
 		o.idle = append(o.idle, conn)
 		o.mu.Unlock()
@@ -278,7 +281,8 @@
 			answered = true
 			_, code, _ := strings.Cut(string(message.Body), "\x00C")
 			out.code = code[:min(5, len(code))]
-			if strings.HasPrefix(string(message.Body), "SFATAL\x00") {
+			if c.ended = strings.HasPrefix(string(message.Body), "SFATAL\x00"); c.ended {
+				c.Close()
 				return out
 			}
 		case 'Z':
@@ -294,12 +298,15 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var took []time.Duration
+	out.LostBy = map[string]int{}
 	for _, r := range o.answers {
 		out.Sent++
 		took = append(took, r.took)
 		switch {
 		case r.lost:
 			out.Late++
+			_, cause, _ := strings.Cut(r.code, ": ")
+			out.LostBy[cmp.Or(cause, r.code)]++
 		case r.code == "":
 			out.Served++
 		case r.code == pg.CodeTooManyConnections || r.code == pg.CodeCannotConnectNow:
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -224,7 +224,7 @@
 	c.server.deadlines.Clear(&c.timer)
 	c.socket.close()
 	c.stopWaiting()
-	c.server.listener.open.Add(-1)
+	c.server.listener.open--
 	c.abandonRequests()
 	c.input.free()
 	c.accountBuffer()
--- a/internal/net/counts_test.go
+++ b/internal/net/counts_test.go
@@ -15,7 +15,7 @@
 	return onLoop(s.loop, func() string {
 		counts := fmt.Sprintf("clients %d, buffered %d, pipelined %d, excess %d, open %d, memory queue %d, silent %d, idle %d, "+
 			"closing %d, requests %d", len(s.clients), s.bufferedBytes, s.pipelinedBytes, s.excessClients,
-			s.listener.open.Load(), s.memoryQueue.Len(), s.silent.Len(), s.idle.Len(), s.closing.Len(),
+			s.listener.open, s.memoryQueue.Len(), s.silent.Len(), s.idle.Len(), s.closing.Len(),
 			s.dispatcher.OpenRequests())
 		if strings.Trim(counts, "abcdefghijklmnopqrstuvwxyz 0,") == "" {
 			return ""
--- a/internal/net/listener.go
+++ b/internal/net/listener.go
@@ -6,49 +6,57 @@
 	"log/slog"
 	stdnet "net"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"havenproxy/internal/state"
 )
 
 const (
 	// acceptBacklog is how many connections may wait to be accepted; the kernel reduces it to its own limit.
 	acceptBacklog = 4096
+	// maxAcceptsPerTurn is how many connections are accepted before the loop turns to those that are open.
+	maxAcceptsPerTurn = 16
 	// acceptRetryDelay is the pause after an error that an immediate retry would only repeat, such as lack of descriptors.
 	acceptRetryDelay = 5 * time.Millisecond
 	// acceptLogInterval is the minimum time between log lines about such errors.
 	acceptLogInterval = 10 * time.Second
 )
 
-// listener accepts connections in blocking calls on its own goroutine: connections that arrive before the first call are
-// accepted like all others, with no registration in a poller that could miss them. Its descriptor is only shut down and
-// never closed, so that its number can't become another connection's while a call is in progress.
+// listener accepts connections on the loop, a limited number in each turn; others wait in the kernel.
 type listener struct {
+	loop    *Loop
 	fd      int
 	address stdnet.Addr
-	maxOpen int64 // maximum number of open connections
-	open    atomic.Int64
-	stopped atomic.Bool
+	socket  *socket // watches fd; nil until serve
+	maxOpen int     // maximum number of open connections
+	open    int
+	stopped bool
+	// waitingSince is since when connections may have been waiting in the kernel, with what their clients have sent.
+	waitingSince time.Duration
+	retryTimer   state.Deadline
+	loggedAt     time.Duration // when an error was last logged; 0 = never
 
-	onAccept      func(fd int) // called with each accepted connection that there is room for
-	onFull        func()       // asks the loop to make room
-	roomRequested atomic.Bool  // onFull was called, and the loop has not made room yet
+	// onAccept is called with each accepted connection that there is room for, and since when it may have been waiting.
+	onAccept func(fd int, waitingSince time.Duration)
+	onFull   func() // called after a connection was closed for which there is no room
 }
 
 // bind reserves an address; nobody can connect before serve.
-func bind(address string) (*listener, error) {
+func bind(loop *Loop, address string) (*listener, error) {
 	tcp, err := stdnet.ResolveTCPAddr("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	family, socketAddress := sockaddr(tcp)
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
 	if err != nil {
 		return nil, os.NewSyscallError("socket", err)
 	}
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	setBufferSizes(fd) // accepted sockets inherit the sizes
+	setBufferSizes(fd) // accepted sockets inherit all options
+	setClientOptions(fd)
 	if err := unix.Bind(fd, socketAddress); err != nil {
 		unix.Close(fd)
 		return nil, fmt.Errorf("listen on %s: %w", address, os.NewSyscallError("bind", err))
@@ -56,58 +64,100 @@
 	if bound, err := unix.Getsockname(fd); err == nil {
 		tcp.Port = sockaddrPort(bound)
 	}
-	return &listener{fd: fd, address: tcp}, nil
+	return &listener{loop: loop, fd: fd, address: tcp}, nil
 }
 
 // serve starts to listen, and to accept connections until stop.
-func (l *listener) serve() error {
+func (l *listener) serve() (err error) {
 	if err := unix.Listen(l.fd, acceptBacklog); err != nil {
 		return os.NewSyscallError("listen", err)
 	}
-	go l.acceptLoop()
-	return nil
+	l.socket, err = newSocket(l.loop, l.fd, l, nil)
+	return err
 }
 
-// acceptLoop accepts connections until stop, on its own goroutine.
-func (l *listener) acceptLoop() {
-	var loggedAt time.Time
-	for !l.stopped.Load() {
+// onReadable implements socketHandler.
+func (l *listener) onReadable() { l.acceptPending(maxAcceptsPerTurn) }
+
+// acceptPending accepts connections that wait, up to a number.
+func (l *listener) acceptPending(most int) {
+	if l.waitingSince == 0 {
+		l.waitingSince = l.loop.polledBefore
+	}
+	for range most {
 		fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case err == nil:
 			l.admit(fd)
-		case l.stopped.Load():
 		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED): // the next call may succeed
+		case errors.Is(err, unix.EAGAIN):
+			l.waitingSince = 0
+			return
 		default:
-			if time.Since(loggedAt) >= acceptLogInterval {
-				loggedAt = time.Now()
-				slog.Warn("failed to accept a connection", "error", err)
-			}
-			time.Sleep(acceptRetryDelay)
+			l.retryLater(err)
+			return
 		}
 	}
 }
 
-// admit passes a connection to onAccept, or closes it if too many are open. It runs ahead of the loop: connections of a
-// large burst for which there are no descriptors are closed here.
+// retryLater pauses after an error.
+func (l *listener) retryLater(err error) {
+	if now := l.loop.clock.Now(); l.loggedAt == 0 || now-l.loggedAt >= acceptLogInterval {
+		l.loggedAt = now
+		slog.Warn("failed to accept a connection", "error", err)
+	}
+	l.loop.stalls.counters.AcceptErrors++
+	l.socket.pauseReading(true)
+	l.loop.deadlines.Set(&l.retryTimer, l.loop.clock.Now()+acceptRetryDelay, func() { l.socket.pauseReading(false) })
+}
+
+// admit passes a connection to onAccept. One whose client has closed it already, or that there is no descriptor for, is
+// closed.
 func (l *listener) admit(fd int) {
-	if l.open.Add(1) <= l.maxOpen {
-		l.onAccept(fd)
+	if hangupPending(fd) {
+		l.loop.stalls.counters.ClientsLeftAtOnce++
+		unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1}) // a reset costs the least
+		unix.Close(fd)
 		return
 	}
-	l.open.Add(-1)
-	unix.Close(fd)
-	if !l.roomRequested.Swap(true) { // a connection closed here never reaches the loop, which would make room
+	if l.open >= l.maxOpen {
+		l.loop.stalls.counters.ClientsShut++
+		unix.Close(fd)
 		l.onFull()
+		return
 	}
+	l.open++
+	l.onAccept(fd, l.waitingSince)
 }
 
-// stop refuses further connections and unblocks the accept call in progress.
+// stop accepts the connections that have been made, and refuses further ones. The descriptor keeps its number, and the
+// address, until the process ends.
 func (l *listener) stop() {
-	l.stopped.Store(true)
+	if l.stopped {
+		return
+	}
+	l.stopped = true
+	if l.socket != nil {
+		l.loop.deadlines.Clear(&l.retryTimer)
+		l.acceptPending(acceptBacklog)
+		l.loop.deadlines.Clear(&l.retryTimer)
+		l.socket.unwatch()
+	}
 	unix.Shutdown(l.fd, unix.SHUT_RD)
 }
 
+// onHangup implements socketHandler. A listening socket has no peer.
+func (l *listener) onHangup() {}
+
+// onWritten implements socketHandler.
+func (l *listener) onWritten() {}
+
+// onWriteFailed implements socketHandler.
+func (l *listener) onWriteFailed(error) {}
+
+// onPanic implements socketHandler. Other connections may still be accepted.
+func (l *listener) onPanic() {}
+
 // sockaddr converts a TCP address to its socket address family and address.
 func sockaddr(tcp *stdnet.TCPAddr) (family int, address unix.Sockaddr) {
 	if tcp.IP == nil || tcp.IP.To4() != nil {
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -304,8 +304,8 @@
 	oldest := connectAndSend(startAndQuery, startupResponseTypes+"IZ")
 	second := connectAndSend(startAndQuery, startupResponseTypes+"IZ")
 	third := connectAndSend(startAndQuery, startupResponseTypes+"IZ")
-	connectAndSend(startAndQuery, "E!").conn.Close() // no client has been idle or silent for long enough
-	for s.listener.open.Load() > 4 {                 // it counts as open until it has closed its side too
+	connectAndSend(startAndQuery, "E!").conn.Close()                // no client has been idle or silent for long enough
+	for onLoop(s.loop, func() int { return s.listener.open }) > 4 { // it counts as open until it has closed its side too
 	}
 	advance(s, silentTimeout)
 	connectAndSend(startAndQuery, startupResponseTypes+"IZ")
@@ -779,12 +779,7 @@
 	blocked, release := make(chan struct{}), make(chan struct{})
 	loop.Post(func() { close(blocked); <-release })
 	<-blocked
-	peers = append(peers, dialProxy(t, s)) // it is accepted before the others' input is read
-	for waiting := 0; waiting == 0; {
-		loop.mu.Lock()
-		waiting = len(loop.queue)
-		loop.mu.Unlock()
-	}
+	peers = append(peers, dialProxy(t, s)) // it waits in the kernel, and is accepted before the others' input is read
 	for i, p := range peers {
 		p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), queryText(fmt.Sprint(i))))
 	}
--- a/internal/net/poller.go
+++ b/internal/net/poller.go
@@ -66,6 +66,9 @@
 	return p.control(unix.EPOLL_CTL_MOD, fd, id, interest)
 }
 
+// remove ends the watch of a descriptor that stays open.
+func (p *poller) remove(fd int) error { return p.control(unix.EPOLL_CTL_DEL, fd, 0, 0) }
+
 func (p *poller) control(operation, fd int, id uint64, interest uint32) error {
 	event := unix.EpollEvent{Events: interest, Fd: int32(uint32(id)), Pad: int32(uint32(id >> 32))}
 	if err := unix.EpollCtl(p.epoll, operation, fd, &event); err != nil {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -71,28 +71,19 @@
 
 // Bind reserves the address. Connections are refused until Listen.
 func (s *Server) Bind(address string) error {
-	l, err := bind(address)
+	l, err := bind(s.loop, address)
 	if err != nil {
 		return err
 	}
-	l.maxOpen = int64(s.maxClients + s.maxExcess)
-	l.onAccept = func(fd int) {
-		acceptedAt := s.clock.Now()
-		s.loop.Post(func() { s.accept(fd, acceptedAt) })
-	}
-	l.onFull = func() {
-		s.loop.Post(func() {
-			l.roomRequested.Store(false)
-			s.makeRoom()
-		})
-	}
+	l.maxOpen = s.maxClients + s.maxExcess
+	l.onAccept, l.onFull = s.accept, s.makeRoom
 	s.listener = l
 	return nil
 }
 
 // Listen starts to accept clients, unless StopListening has been called already.
 func (s *Server) Listen() error {
-	if s.listening || s.listener.stopped.Load() {
+	if s.listening || s.listener.stopped {
 		return nil
 	}
 	s.listening = true
@@ -103,17 +94,16 @@
 func (s *Server) Address() string { return s.listener.address.String() }
 
 // accept creates the client of a new connection, before any of its input is read.
-func (s *Server) accept(fd int, acceptedAt time.Duration) {
-	setClientOptions(fd)
+func (s *Server) accept(fd int, waitingSince time.Duration) {
 	c := &client{server: s, input: buffer{pool: &s.loop.clientBuffers}}
 	var err error
 	if c.socket, err = newSocket(s.loop, fd, c, nil); err != nil {
-		s.listener.open.Add(-1)
+		s.listener.open--
 		slog.Warn("failed to set up a client connection", "error", err)
 		return
 	}
 	if !c.allInputSeen() {
-		c.backlog.leftUnread(acceptedAt)
+		c.backlog.leftUnread(waitingSince)
 	}
 	if s.dispatcher.Counters.Clients++; s.dispatcher.Counters.Clients <= maxLoggedClients {
 		slog.Info("client connected", "number", s.dispatcher.Counters.Clients)
--- a/internal/net/slow_peer_test.go
+++ b/internal/net/slow_peer_test.go
@@ -223,7 +223,9 @@
 			})
 			var fd int
 			for _, open := range loop.sockets {
-				fd = open.fd
+				if open.onDialed != nil { // the listener's socket is open too
+					fd = open.fd
+				}
 			}
 			cancel()
 			_, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_TYPE)
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -239,10 +239,12 @@
 
 // peerClosed reports whether the end of the connection has arrived, also behind input that is not read yet.
 func (s *socket) peerClosed() bool {
-	if s.fd < 0 {
-		return true
-	}
-	polled := []unix.PollFd{{Fd: int32(s.fd), Events: unix.POLLRDHUP}}
+	return s.fd < 0 || hangupPending(s.fd)
+}
+
+// hangupPending reports whether the end of a connection has arrived at its descriptor.
+func hangupPending(fd int) bool {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 	for {
 		if _, err := unix.Poll(polled, 0); err != unix.EINTR {
 			return polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
@@ -257,6 +259,13 @@
 	}
 }
 
+// unwatch ends all callbacks and leaves the descriptor open.
+func (s *socket) unwatch() {
+	s.loop.poller.remove(s.fd)
+	delete(s.loop.sockets, s.id)
+	s.fd = -1
+}
+
 // close closes the socket and drops its queued output. No callback follows.
 func (s *socket) close() {
 	if s.fd < 0 {
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -23,6 +23,9 @@
 	ListCalls, ListFailures                                      uint64
 	Clients, ClientsEvicted, ClientsRejected, Malformed          uint64 // client connections
 	ClientsNotReading                                            uint64 // client connections that were closed because nothing more could be sent
+	ClientsLeftAtOnce                                            uint64 // client connections that were closed by their clients before they were accepted
+	ClientsShut                                                  uint64 // client connections that were closed unread, as there was no descriptor for them
+	AcceptErrors                                                 uint64 // calls of accept that failed
 	Panics                                                       uint64 // contained panics, each of which ended a connection
 
 	LongestStall time.Duration // the longest time that the event loop was blocked
@@ -82,6 +85,8 @@
 		slog.Uint64("list_calls", c.ListCalls), slog.Uint64("list_failures", c.ListFailures),
 		slog.Uint64("clients", c.Clients), slog.Uint64("made_room", c.ClientsEvicted),
 		slog.Uint64("turned_away", c.ClientsRejected), slog.Uint64("malformed", c.Malformed),
+		slog.Uint64("left_at_once", c.ClientsLeftAtOnce), slog.Uint64("shut_unread", c.ClientsShut),
+		slog.Uint64("accept_errors", c.AcceptErrors),
 		slog.Uint64("not_reading", c.ClientsNotReading), slog.Uint64("panics", c.Panics),
 		slog.Duration("longest_hold", c.LongestStall))
 }
