--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Loop{clock: clock, deadlines: deadlines, stalls: stallMonitor{counters: counters}, poller: poller,
+	l := &Loop{clock: clock, deadlines: deadlines, stalls: stallMonitor{clock: clock, counters: counters}, poller: poller,
 		sockets: map[uint64]*socket{}, readBuffer: make([]byte, readBufferBytes)}
 	l.LimitInput(defaultInputBytes)
 	return l, nil
@@ -89,17 +89,9 @@
 	var posted []func()
 	for !l.stopped {
 		l.events = l.poller.wait(l.events[:0], l.waitTime())
-		begin := l.clock.Now()
-		l.polledAt, l.polledBefore = begin, l.polledAt
-		l.handleHangups()
-		posted = l.takePosted(posted)
-		for i, f := range posted {
-			f()
-			posted[i] = nil
-		}
-		l.handleEvents()
-		l.deadlines.RunDue(l.clock.Now())
-		l.stalls.record(begin, l.clock.Now(), len(posted)+len(l.events))
+		now := l.clock.Now()
+		l.polledAt, l.polledBefore = now, l.polledAt
+		posted = l.runTurn(now, posted)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -107,6 +99,25 @@
 	l.poller.close()
 }
 
+// runTurn handles the events that have been polled, what was posted, and the deadlines that are due. It reuses the memory of the functions posted before, and returns that of those posted now.
+func (l *Loop) runTurn(now time.Duration, reuse []func()) (posted []func()) {
+	l.stalls.beginTurn(now)
+	l.handleHangups()
+	l.stalls.endPhase(phaseHangups, 0)
+	posted = l.takePosted(reuse)
+	for i, f := range posted {
+		f()
+		posted[i] = nil
+	}
+	l.stalls.endPhase(phasePosted, len(posted))
+	l.handleEvents()
+	l.stalls.endPhase(phaseEvents, len(l.events))
+	l.deadlines.RunDue(l.clock.Now())
+	l.stalls.endPhase(phaseDeadlines, 0)
+	l.stalls.endTurn()
+	return posted
+}
+
 // waitTime returns how long the loop may wait for events: until the next deadline.
 func (l *Loop) waitTime() time.Duration {
 	if at, ok := l.deadlines.Next(); ok {
--- a/internal/net/stallmonitor.go
+++ b/internal/net/stallmonitor.go
@@ -14,22 +14,60 @@
 	stallLogInterval = 10 * time.Second
 )
 
+// turnPhase is a part of an iteration of the loop.
+type turnPhase uint8
+
+// The phases of an iteration, in their order.
+const (
+	phaseHangups turnPhase = iota
+	phasePosted
+	phaseEvents
+	phaseDeadlines
+	turnPhases
+)
+
+// turnPhaseNames are the names of the phases in the log.
+var turnPhaseNames = [turnPhases]string{"hangups", "posted", "events", "deadlines"}
+
 // stallMonitor logs slow iterations of the loop: during one, nothing is read or sent, and no timeout takes effect.
 type stallMonitor struct {
+	clock    state.Clock
 	counters *state.Counters
 	loggedAt time.Duration
+
+	begin   time.Duration // of the current iteration
+	ended   time.Duration // when its last phase ended
+	phases  [turnPhases]time.Duration
+	handled int // callbacks that it has run
 }
 
-// record notes one iteration of the loop and the number of callbacks that it ran.
-func (m *stallMonitor) record(begin, end time.Duration, callbacks int) {
-	took := end - begin
+// beginTurn starts to measure an iteration.
+func (m *stallMonitor) beginTurn(now time.Duration) {
+	m.begin, m.ended, m.phases, m.handled = now, now, [turnPhases]time.Duration{}, 0
+}
+
+// endPhase records the end of a phase that has run so many callbacks.
+func (m *stallMonitor) endPhase(phase turnPhase, callbacks int) {
+	now := m.clock.Now()
+	m.phases[phase] += now - m.ended
+	m.ended = now
+	m.handled += callbacks
+}
+
+// endTurn notes the iteration. A slow one is logged with what its phases took.
+func (m *stallMonitor) endTurn() {
+	took := m.ended - m.begin
 	longest := took > m.counters.LongestStall
 	if longest {
 		m.counters.LongestStall = took
 	}
-	if took < stallThreshold || !longest && end-m.loggedAt < stallLogInterval {
+	if took < stallThreshold || !longest && m.ended-m.loggedAt < stallLogInterval {
 		return
 	}
-	m.loggedAt = end
-	slog.Warn("event loop was blocked", "for", took, "callbacks", callbacks)
+	m.loggedAt = m.ended
+	attributes := []any{"for", took, "callbacks", m.handled}
+	for phase, name := range turnPhaseNames {
+		attributes = append(attributes, name, m.phases[phase])
+	}
+	slog.Warn("event loop was blocked", attributes...)
 }
