Serve busy client connections after others, and bound what a turn spends on them

Callers saw: beside 300 clients at full speed, and with a fifth of a core also beside 60, others were answered late: 123 of 248 requests late beside reads with long comments, 61 of 244 beside small reads, up to 36 of 246 beside unsound queries of the largest size; with a whole core up to 10 of 202. Beside 6 to 60 clients that sent empty queries the median grew from 6 to 55 ms.

Cause: a turn of the loop handled four messages and 32 KiB of every connection that had input, so it cost what all asked at once (turns of 142 ms with a fifth of a core, 80 ms with a whole one); the flood took the whole processor, and the platform stopped the process when its share was used up, in the middle of the others' requests.

Change: work is counted for each connection (a message, or 4 KiB, is a unit; one unit in 5 ms and bursts of 16 are free, of 3 while turns take over 2 ms). A connection above that is busy: its input stays in the kernel, and it waits in a queue for its turn. A turn spends 250 us on the queue, and all busy connections together get what others leave of 70% of the process's share of a core (limits.cores, read now), a fifth of that share at least. Clients known to send one request at a time come before new ones, whose input waits for the next turn after 5 ms. The time a busy client waits does not count against its partial query. Input left unread before a backlog had settled keeps its end hidden until it is read: without that, the test on ends behind unread input failed (648 attempts after the client had left). Counter: busy_waits.

A test called processInput from its own goroutine; it does so on the loop now, as the race detector saw.

--- a/cmd/havenproxy/process_test.go
+++ b/cmd/havenproxy/process_test.go
@@ -197,7 +197,8 @@
 func (p *proxyProcess) writeConfig(t *testing.T) {
 	t.Helper()
 	config, err := json.Marshal(map[string]any{"name": "n0", "listen": p.address, "discovery": p.options.discovery,
-		"seed": "8c1f30d27a5be964", "limits": map[string]any{"memory_mb": cmp.Or(p.options.memoryMB, defaultMemoryMB), "sockets": p.options.sockets},
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"memory_mb": cmp.Or(p.options.memoryMB, defaultMemoryMB), "sockets": p.options.sockets,
+			"cores": cmp.Or(p.options.cpuQuota, p.options.cpuShare)},
 		"known": p.options.initialList, "settings": json.RawMessage(fmt.Appendf(nil, settingsFormat, p.options.fleetSize))})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/net/backlog.go
+++ b/internal/net/backlog.go
@@ -51,9 +51,9 @@
 	b.unreadSince, b.unreadBytes = 0, 0
 }
 
-// overdue reports whether input has been unread for too long.
+// overdue reports whether input has been unread for too long, or since before an earlier backlog had settled.
 func (b *backlog) overdue(now time.Duration) bool {
-	return b.unreadSince > 0 && now-b.unreadSince > maxUnreadTime
+	return b.unreadSince > 0 && (now-b.unreadSince > maxUnreadTime || b.unreadSince < b.settledAt)
 }
 
 // endMayBeHidden reports whether the client may have closed its connection without that being seen, because its end stands
@@ -72,5 +72,5 @@
 	if c.backlog.unreadSince > 0 {
 		at = max(at, c.server.clock.Now()+catchUpTime)
 	}
-	c.server.deadlines.Set(&c.catchUpTimer, at, c.processInput)
+	c.server.deadlines.Set(&c.catchUpTimer, at, c.processLater)
 }
--- a/internal/net/client.go
+++ b/internal/net/client.go
@@ -20,6 +20,8 @@
 	maxEncryptionRequests = 2 // a client may ask for each of the two kinds of encryption once
 	// maxMessagesPerWake is how many messages of one client the loop handles before it turns to other connections.
 	maxMessagesPerWake = 4
+	// maxMessagesPerCrowdedWake is the same while the loop is crowded: a startup message and the first query.
+	maxMessagesPerCrowdedWake = 2
 )
 
 var errQueryTimeout = errors.New("no whole query in time")
@@ -43,6 +45,7 @@
 	excess             bool // over the client limit: rejected after its startup message
 	accountedBytes     int  // bytes of input that are included in Server.bufferedBytes
 	hasQueried         bool // a complete query has arrived
+	hasRequested       bool // a request has been accepted
 	encryptionRequests int
 	writeClosed        bool // nothing more is sent to the client
 	partialQuery       bool // part of a query has arrived, and timer limits the wait for the rest
@@ -50,9 +53,11 @@
 	backlog            backlog
 	catchUpTimer       state.Deadline
 	memoryQueueElement *list.Element // its element in Server.memoryQueue, or nil
-	resuming           bool          // processInput is posted to the loop
-	batching           bool          // complete responses are sent together once the messages at hand are handled
-	pipelinedBytes     int           // what it has in Server.pipelinedBytes
+	resuming           bool          // input that was read before is handled once the loop, or the busy queue, turns to it
+	usage              usage
+	inBusyQueue        bool
+	batching           bool // complete responses are sent together once the messages at hand are handled
+	pipelinedBytes     int  // what it has in Server.pipelinedBytes
 	responses          []*pendingResponse
 	timer              state.Deadline
 
@@ -194,6 +199,7 @@
 // stopWaiting ends the wait of the next query for good, because it is not handled any more.
 func (c *client) stopWaiting() {
 	c.setWaiting(notWaiting)
+	c.updateReading()
 	c.server.deadlines.Clear(&c.catchUpTimer)
 }
 
--- a/internal/net/client_input.go
+++ b/internal/net/client_input.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"havenproxy/internal/state"
 	"havenproxy/internal/wire/pg"
@@ -9,20 +10,80 @@
 
 // This file handles the input of a client: reading, messages and queries.
 
-// onReadable implements socketHandler. It reads and processes a limited part of the available input.
+// onReadable implements socketHandler. The input of a busy client is left unread until the loop has served others.
 func (c *client) onReadable() {
-	if c.resuming { // what was read before comes first
-		c.backlog.leftUnread(c.server.clock.Now())
+	now := c.server.clock.Now()
+	switch {
+	case c.resuming: // what was read before comes first
+		c.backlog.leftUnread(now)
+	case c.busy(now):
+		c.waitAsBusy()
+	case c.readInput():
+		if c.accountBuffer(); c.busy(c.server.clock.Now()) {
+			c.processLater()
+			return
+		}
+		c.processInput()
+	}
+}
+
+// busy reports whether the client's input has to wait for that of others.
+func (c *client) busy(now time.Duration) bool {
+	if c.server.loop.crowded(now) {
+		return c.usage.busy(now, crowdedBurst)
+	}
+	return c.usage.busy(now, usageBurst)
+}
+
+// sendsOneAtATime reports whether the client has sent requests, and not much at once lately.
+func (c *client) sendsOneAtATime(now time.Duration) bool {
+	return c.hasRequested && !c.usage.busy(now, crowdedBurst)
+}
+
+// messageLimit returns how many messages of the client may be handled before the loop turns to others.
+func (c *client) messageLimit() int {
+	if c.server.loop.crowded(c.server.clock.Now()) {
+		return maxMessagesPerCrowdedWake
+	}
+	return maxMessagesPerWake
+}
+
+// waitAsBusy puts the client into the queue of busy connections.
+func (c *client) waitAsBusy() {
+	if c.inBusyQueue {
 		return
 	}
+	c.inBusyQueue = true
+	c.updateReading()
+	c.updateQueryTimer(false)
+	c.server.loop.busy.add(c)
+}
+
+// handleBusy implements busyWork.
+func (c *client) handleBusy() {
+	c.inBusyQueue = false
+	switch {
+	case c.connState == stateClosed:
+	case c.resuming:
+		c.resuming = false
+		c.processInput()
+	case c.readInput():
+		c.processInput()
+	}
+}
+
+// readInput reads a limited part of the available input. It reports whether the connection is still open.
+func (c *client) readInput() bool {
 	room := c.input.room()
 	n, err := c.socket.read(&c.input)
 	if err != nil {
 		c.close()
-		return
+		return false
 	}
-	c.backlog.read(c.server.clock.Now(), n, n < room, c.server.loop.polledBefore)
-	c.processInput()
+	now := c.server.clock.Now()
+	c.usage.add(now, n/usageBytes)
+	c.backlog.read(now, n, n < room, c.server.loop.polledBefore)
+	return true
 }
 
 // processInput handles complete messages in the input buffer, at most maxMessagesPerWake; the loop turns to other
@@ -39,6 +100,7 @@
 		return
 	}
 	if handled > 0 {
+		c.usage.add(c.server.clock.Now(), handled)
 		c.leaveMemoryQueue() // others that wait for memory come first
 	}
 	reason := notWaiting
@@ -49,6 +111,7 @@
 	if c.mayHandleNext(reason) && c.messageComplete() {
 		c.processLater()
 	}
+	c.updateReading()
 	c.updateQueryTimer(handled > 0)
 	c.accountBuffer()
 	if c.lacksMemory(reason) {
@@ -77,10 +140,11 @@
 	return reason == notWaiting || reason == waitsForInput && c.input.size() >= c.maxHeldInput()
 }
 
-// handleMessages handles messages until none is complete, the connection closes, the next has to wait, or
-// maxMessagesPerWake are handled. It returns how many were.
+// handleMessages handles messages until none is complete, the connection closes, the next has to wait, or as
+// many are handled as may be in one wake. It returns how many were.
 func (c *client) handleMessages() (handled int) {
-	for ; c.connState < stateClosing && handled < maxMessagesPerWake; handled++ {
+	limit := c.messageLimit()
+	for ; c.connState < stateClosing && handled < limit; handled++ {
 		reason := c.waitReason()
 		if !c.mayHandleNext(reason) {
 			return handled
@@ -108,16 +172,27 @@
 	return n > 0 || err != nil
 }
 
-// processLater processes the rest of the input once the loop has handled its other events.
+// processLater processes the rest of the input once the loop has handled its other events, or those of other busy clients.
 func (c *client) processLater() {
 	if c.resuming {
 		return
 	}
 	c.resuming = true
-	c.server.loop.Post(func() {
-		c.resuming = false
-		c.processInput()
-	})
+	if c.inBusyQueue || c.busy(c.server.clock.Now()) {
+		c.waitAsBusy()
+		return
+	}
+	c.server.loop.Post(c.resume)
+}
+
+// resume processes the rest of the input, in a later iteration of the loop if this one has taken long.
+func (c *client) resume() {
+	if c.server.loop.turnSpent() {
+		c.server.loop.Post(c.resume)
+		return
+	}
+	c.resuming = false
+	c.processInput()
 }
 
 // updateQueryTimer starts the timeout for the rest of a partial query, once per query, and clears it when no partial
@@ -126,7 +201,7 @@
 	if !c.hasQueried {
 		return // the timeout for the first query, set on accept, still runs
 	}
-	partialQuery := c.input.size() > 0 && c.waiting == notWaiting && !c.resuming
+	partialQuery := c.input.size() > 0 && c.waiting == notWaiting && !c.resuming && !c.inBusyQueue
 	switch {
 	case partialQuery && (newQuery || !c.partialQuery):
 		c.server.deadlines.Set(&c.timer, c.server.clock.Now()+queryTimeout, c.queryTimedOut)
@@ -226,6 +301,7 @@
 			Session: st.Session, Group: st.Group, TokenMillis: st.TokenMillis, Retry: st.Retry, Query: &st, QueryBytes: len(text),
 			Responder: resp})
 	})
+	c.hasRequested = c.hasRequested || err == nil
 	switch {
 	case c.connState == stateClosed:
 		c.abandon(resp)
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -22,6 +22,13 @@
 	minLargeBuffers = 4
 )
 
+const (
+	// crowdedTurnTime is how long an iteration of the loop takes at most unless the loop is crowded.
+	crowdedTurnTime = 2 * time.Millisecond
+	// maxTurnTime is the time in an iteration after which no more input of new clients is handled in it.
+	maxTurnTime = 5 * time.Millisecond
+)
+
 // Loop is the event loop. Its goroutine owns the router and the state of all connections, waits for all their sockets
 // and runs their callbacks one at a time. Nothing on it may wait for a peer.
 type Loop struct {
@@ -31,13 +38,16 @@
 	poller     *poller
 	sockets    map[uint64]*socket // open sockets by poller id
 	events     []polledEvent
+	newClients []polledEvent // events of clients that have sent no request yet, or many
 	readBuffer []byte
 	// clientBuffers and databaseBuffers are the large input buffers of the two kinds of connections.
 	clientBuffers   bufferPool
 	databaseBuffers bufferPool
+	busy            busyQueue
 	sharedDepth     int // calls of the dispatcher in progress
 	// polledAt and polledBefore are when the current wait for events returned, and the one before it.
 	polledAt, polledBefore time.Duration
+	turns                  uint64 // iterations so far
 	stopped                bool
 
 	mu     sync.Mutex
@@ -53,7 +63,8 @@
 		return nil, err
 	}
 	l := &Loop{clock: clock, deadlines: deadlines, stalls: stallMonitor{clock: clock, counters: counters}, poller: poller,
-		sockets: map[uint64]*socket{}, readBuffer: make([]byte, readBufferBytes)}
+		sockets: map[uint64]*socket{}, readBuffer: make([]byte, readBufferBytes),
+		busy: busyQueue{clock: clock, counters: counters, cores: 1}}
 	l.LimitInput(defaultInputBytes)
 	return l, nil
 }
@@ -65,6 +76,9 @@
 	l.databaseBuffers.max = max(size/2/largeBufferBytes, minLargeBuffers)
 }
 
+// LimitCores sets how much processor time the process gets in a second, in seconds.
+func (l *Loop) LimitCores(cores float64) { l.busy.cores = cores }
+
 // Post queues f to run on the loop. It may be called from any goroutine.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
@@ -99,8 +113,10 @@
 	l.poller.close()
 }
 
-// runTurn handles the events that have been polled, what was posted, and the deadlines that are due. It reuses the memory of the functions posted before, and returns that of those posted now.
+// runTurn handles the events that have been polled, what was posted, the deadlines that are due, and then busy connections. It
+// reuses the memory of the functions posted before, and returns that of those posted now.
 func (l *Loop) runTurn(now time.Duration, reuse []func()) (posted []func()) {
+	l.turns++
 	l.stalls.beginTurn(now)
 	l.handleHangups()
 	l.stalls.endPhase(phaseHangups, 0)
@@ -114,16 +130,28 @@
 	l.stalls.endPhase(phaseEvents, len(l.events))
 	l.deadlines.RunDue(l.clock.Now())
 	l.stalls.endPhase(phaseDeadlines, 0)
+	l.busy.recordOthers(l.stalls.ended, l.stalls.ended-now)
+	served := l.busy.serve()
+	l.stalls.endPhase(phaseBusy, served)
 	l.stalls.endTurn()
 	return posted
 }
 
-// waitTime returns how long the loop may wait for events: until the next deadline.
+// crowded reports whether the connections that are not busy ask for so much that they have to wait for each other.
+func (l *Loop) crowded(now time.Duration) bool {
+	return l.stalls.took > crowdedTurnTime || now-l.stalls.begin > crowdedTurnTime
+}
+
+// waitTime returns how long the loop may wait for events: until the next deadline, or the next turn of busy connections.
 func (l *Loop) waitTime() time.Duration {
-	if at, ok := l.deadlines.Next(); ok {
-		return max(at-l.clock.Now(), 0)
+	at, limited := l.deadlines.Next()
+	if next, waiting := l.busy.next(); waiting && (!limited || next < at) {
+		at, limited = next, true
+	}
+	if !limited {
+		return -1
 	}
-	return -1
+	return max(at-l.clock.Now(), 0)
 }
 
 // handleHangups reports the connections that their peers have ended. It precedes all other events, because input of one
@@ -139,15 +167,48 @@
 	}
 }
 
-// handleEvents handles the input and output of the sockets that are ready.
+// handleEvents handles the input and output of the sockets that are ready. Clients that are known to send one request at a
+// time, and databases, come first.
 func (l *Loop) handleEvents() {
+	l.newClients = l.newClients[:0]
 	for _, e := range l.events {
-		if s := l.sockets[e.id]; s != nil {
-			l.contain(s, func() { s.handleEvent(e.ready) })
+		s := l.sockets[e.id]
+		if s == nil {
+			continue
+		}
+		if c, ok := s.handler.(*client); ok && !c.sendsOneAtATime(l.polledAt) {
+			l.newClients = append(l.newClients, e)
+			continue
 		}
+		l.contain(s, func() { s.handleEvent(e.ready) })
 	}
+	l.handleNewClients()
 }
 
+// handleNewClients handles the events of other clients. Once the iteration has taken maxTurnTime, what is left of their input
+// waits for the next one, in which another client comes first.
+func (l *Loop) handleNewClients() {
+	first := 0
+	if count := len(l.newClients); count > 0 {
+		first = int(l.turns % uint64(count))
+	}
+	for i := range l.newClients {
+		e := l.newClients[(first+i)%len(l.newClients)]
+		s := l.sockets[e.id]
+		if s == nil {
+			continue
+		}
+		if l.turnSpent() {
+			s.handler.(*client).backlog.leftUnread(l.polledAt)
+			e.ready &= eventWritable
+		}
+		l.contain(s, func() { s.handleEvent(e.ready) })
+	}
+}
+
+// turnSpent reports whether the iteration has taken so long that input which can wait should wait for the next one.
+func (l *Loop) turnSpent() bool { return l.clock.Now()-l.stalls.begin > maxTurnTime }
+
 // contain runs the handling of an event of one connection. A panic in it ends that connection only, unless the dispatcher
 // was being called: its state is that of all requests and may be inconsistent then, so the panic goes on.
 func (l *Loop) contain(s *socket, handle func()) {
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -719,7 +719,8 @@
 func TestNoQueryIsAcceptedFromClosedClient(t *testing.T) {
 	server, dispatcher, _ := startProxy(t, "127.0.0.1:1", 8, 1)
 	c := &client{server: server, connState: stateClosed, input: buffer{storage: pg.AppendQuery(nil, queryText("a")), pool: &server.loop.clientBuffers}}
-	if c.processInput(); dispatcher.Counters.Accepted != 0 || c.input.size() != 0 {
+	onLoop(server.loop, func() bool { c.processInput(); return true })
+	if dispatcher.Counters.Accepted != 0 || c.input.size() != 0 {
 		t.Errorf("%d requests accepted, %d bytes left", dispatcher.Counters.Accepted, c.input.size())
 	}
 }
--- a/internal/net/pipeline.go
+++ b/internal/net/pipeline.go
@@ -53,7 +53,6 @@
 		c.memoryQueueElement = c.server.memoryQueue.PushBack(c)
 	}
 	c.waiting = reason
-	c.setReading(reason == notWaiting || reason == waitsForInput || c.input.size() < c.maxHeldInput())
 	if reason == waitsForInput {
 		c.awaitCatchUp()
 	}
@@ -67,8 +66,10 @@
 	}
 }
 
-// setReading starts or stops reading the client's input.
-func (c *client) setReading(reading bool) {
+// updateReading starts or stops reading the client's input.
+func (c *client) updateReading() {
+	reading := !c.inBusyQueue &&
+		(c.waiting == notWaiting || c.waiting == waitsForInput || c.input.size() < c.maxHeldInput())
 	if !reading {
 		c.backlog.leftUnread(c.server.clock.Now())
 	}
--- a/internal/net/stallmonitor.go
+++ b/internal/net/stallmonitor.go
@@ -23,11 +23,12 @@
 	phasePosted
 	phaseEvents
 	phaseDeadlines
+	phaseBusy
 	turnPhases
 )
 
 // turnPhaseNames are the names of the phases in the log.
-var turnPhaseNames = [turnPhases]string{"hangups", "posted", "events", "deadlines"}
+var turnPhaseNames = [turnPhases]string{"hangups", "posted", "events", "deadlines", "busy"}
 
 // stallMonitor logs slow iterations of the loop: during one, nothing is read or sent, and no timeout takes effect.
 type stallMonitor struct {
@@ -38,7 +39,8 @@
 	begin   time.Duration // of the current iteration
 	ended   time.Duration // when its last phase ended
 	phases  [turnPhases]time.Duration
-	handled int // callbacks that it has run
+	handled int           // callbacks that it has run
+	took    time.Duration // by the last iteration, without its busy connections
 }
 
 // beginTurn starts to measure an iteration.
@@ -57,6 +59,7 @@
 // endTurn notes the iteration. A slow one is logged with what its phases took.
 func (m *stallMonitor) endTurn() {
 	took := m.ended - m.begin
+	m.took = took - m.phases[phaseBusy]
 	longest := took > m.counters.LongestStall
 	if longest {
 		m.counters.LongestStall = took
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -172,6 +172,9 @@
 		return nil, err
 	}
 	p.loop.LimitInput(maxBuffered)
+	if cfg.Cores > 0 {
+		p.loop.LimitCores(min(cfg.Cores, 1)) // the loop runs on one core at a time
+	}
 	dialer.Loop, dialer.Counters = p.loop, &p.dispatcher.Counters
 	p.server = net.NewServer(p.loop, p.clock, p.dispatcher, clients, excess, maxBuffered)
 	if err := p.server.Bind(cfg.Listen); err != nil {
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -25,6 +25,7 @@
 	ClientsNotReading                                            uint64 // client connections that were closed because nothing more could be sent
 	ClientsLeftAtOnce                                            uint64 // client connections that were closed by their clients before they were accepted
 	ClientsShut                                                  uint64 // client connections that were closed unread, as there was no descriptor for them
+	BusyWaits                                                    uint64 // how often a busy client connection had to wait for others
 	AcceptErrors                                                 uint64 // calls of accept that failed
 	Panics                                                       uint64 // contained panics, each of which ended a connection
 
@@ -86,7 +87,7 @@
 		slog.Uint64("clients", c.Clients), slog.Uint64("made_room", c.ClientsEvicted),
 		slog.Uint64("turned_away", c.ClientsRejected), slog.Uint64("malformed", c.Malformed),
 		slog.Uint64("left_at_once", c.ClientsLeftAtOnce), slog.Uint64("shut_unread", c.ClientsShut),
-		slog.Uint64("accept_errors", c.AcceptErrors),
+		slog.Uint64("accept_errors", c.AcceptErrors), slog.Uint64("busy_waits", c.BusyWaits),
 		slog.Uint64("not_reading", c.ClientsNotReading), slog.Uint64("panics", c.Panics),
 		slog.Duration("longest_hold", c.LongestStall))
 }
--- a/internal/wire/settings/config.go
+++ b/internal/wire/settings/config.go
@@ -17,6 +17,7 @@
 	Discovery   string         // address of the discovery service
 	MemoryMB    int            // memory that the proxy may use, in MiB; 0 = no limit
 	Sockets     int            // limit on open sockets; 0 = the default
+	Cores       float64        // processor time that the proxy gets in a second, in seconds; 0 = one core
 	InitialList discovery.List // the list of databases that this proxy last received; may be out of date
 	Settings    Settings
 }
@@ -46,8 +47,9 @@
 		Discovery string `json:"discovery"`
 		Seed      string `json:"seed"`
 		Limits    struct {
-			MemoryMB int `json:"memory_mb"`
-			Sockets  int `json:"sockets"`
+			MemoryMB int     `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+			Cores    float64 `json:"cores"`
 		} `json:"limits"`
 		InitialList json.RawMessage `json:"known"`
 		Settings    json.RawMessage `json:"settings"`
@@ -56,7 +58,7 @@
 		return Config{}, fmt.Errorf("configuration: not usable JSON: %w%s", err, jsonPosition(data, err))
 	}
 	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, MemoryMB: raw.Limits.MemoryMB,
-		Sockets: raw.Limits.Sockets}
+		Sockets: raw.Limits.Sockets, Cores: raw.Limits.Cores}
 	for field, value := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
 		if value == "" {
 			return c, fmt.Errorf("configuration: %s is missing", field)
