Accept more of the connections whose clients have left, and test floods

A client that connects and closes at full speed makes more connections than a fifth of a core accepts; when the kernel's queue is full, it drops the first packet of others' connections, which come up a second later. Those that have been closed already cost a few microseconds each, so a turn takes up to 64 of them, and 16 clients as before.

--- a/internal/net/listener.go
+++ b/internal/net/listener.go
@@ -16,8 +16,10 @@
 const (
 	// acceptBacklog is how many connections may wait to be accepted; the kernel reduces it to its own limit.
 	acceptBacklog = 4096
-	// maxAcceptsPerTurn is how many connections are accepted before the loop turns to those that are open.
-	maxAcceptsPerTurn = 16
+	// maxAcceptsPerTurn is how many clients are accepted before the loop turns to those that are connected, and
+	// maxAcceptCallsPerTurn the same with those that have left already, which cost little.
+	maxAcceptsPerTurn     = 16
+	maxAcceptCallsPerTurn = 64
 	// acceptRetryDelay is the pause after an error that an immediate retry would only repeat, such as lack of descriptors.
 	acceptRetryDelay = 5 * time.Millisecond
 	// acceptLogInterval is the minimum time between log lines about such errors.
@@ -77,14 +79,14 @@
 }
 
 // onReadable implements socketHandler.
-func (l *listener) onReadable() { l.acceptPending(maxAcceptsPerTurn) }
+func (l *listener) onReadable() { l.acceptPending(maxAcceptCallsPerTurn, maxAcceptsPerTurn) }
 
-// acceptPending accepts connections that wait, up to a number.
-func (l *listener) acceptPending(most int) {
+// acceptPending accepts connections that wait, with a limited number of calls and of clients.
+func (l *listener) acceptPending(calls, clients int) {
 	if l.waitingSince == 0 {
 		l.waitingSince = l.loop.polledBefore
 	}
-	for range most {
+	for last := l.open + clients; calls > 0 && l.open < last; calls-- {
 		fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case err == nil:
@@ -139,7 +141,7 @@
 	l.stopped = true
 	if l.socket != nil {
 		l.loop.deadlines.Clear(&l.retryTimer)
-		l.acceptPending(acceptBacklog)
+		l.acceptPending(acceptBacklog, acceptBacklog)
 		l.loop.deadlines.Clear(&l.retryTimer)
 		l.socket.unwatch()
 	}
