Contain panics of busy connections, and close those that send while they are closed

Input that is handled in the queue of busy connections had no panic boundary, unlike input that is handled at once; and a busy client whose connection was being closed kept its socket paused, so that what it sent meanwhile was left unread, or lost the timer that ends the connection. The queue's work runs in the boundary of its connection now, a closing connection is read again, and only a connection that is not closing has the timer of a partial query cleared. A panic while a connection is accepted ends the process, as before accepting moved to the loop.

The extended test on panics fails before with the panic itself; TestBusyClientIsClosedInTime fails three of three without the guard of the timer (20 s and still open).

--- a/internal/net/busy_test.go
+++ b/internal/net/busy_test.go
@@ -24,6 +24,8 @@
 	turns int
 }
 
+func (w *endlessWork) connection() *socket { return nil }
+
 func (w *endlessWork) handleBusy() {
 	w.clock.now += w.cost
 	w.turns++
@@ -34,7 +36,7 @@
 func TestBusyConnectionsGetAShareOfTheProcessorInTurns(t *testing.T) {
 	for _, c := range []struct{ cores, others, want float64 }{{1, 0, 0.7}, {1, 0.3, 0.4}, {1, 0.9, 0.2}, {0.2, 0, 0.14}, {0.2, 0.15, 0.04}} {
 		clock := &manualClock{now: time.Hour}
-		queue := &busyQueue{clock: clock, counters: &state.Counters{}, cores: c.cores}
+		queue := &busyQueue{clock: clock, counters: &state.Counters{}, run: busyWork.handleBusy, cores: c.cores}
 		var works []*endlessWork
 		for range 300 {
 			works = append(works, &endlessWork{queue: queue, clock: clock, cost: 10 * time.Microsecond})
@@ -67,7 +69,7 @@
 // A time for which the process was stopped is not counted as spent on busy connections.
 func TestTimeOfAStopIsNotCountedAgainstBusyConnections(t *testing.T) {
 	clock := &manualClock{now: time.Hour}
-	queue := &busyQueue{clock: clock, counters: &state.Counters{}, cores: 1}
+	queue := &busyQueue{clock: clock, counters: &state.Counters{}, run: busyWork.handleBusy, cores: 1}
 	work := &endlessWork{queue: queue, clock: clock, cost: 10 * time.Second}
 	queue.add(work)
 	queue.serve()
@@ -160,3 +162,20 @@
 		t.Errorf("a client without a place got %q", types)
 	}
 }
+
+// A client that sent at full speed while its connection was being closed kept it open: its wait as a busy client cleared the
+// timer that ends the connection.
+func TestBusyClientIsClosedInTime(t *testing.T) {
+	s, _, loop := startProxy(t, startDatabase(t, echo), 4, 1)
+	p := dialServed(t, s)
+	go p.sendEmptyQueries()
+	waitForBusyClients(t, s, 1)
+	onLoop(loop, func() bool {
+		for c := range s.clients {
+			c.partialQuery = true
+			c.closeWithError(pg.CodeCannotConnectNow, "closed by the test")
+		}
+		return true
+	})
+	waitOnLoop(t, loop, func() bool { return len(s.clients) == 0 })
+}
--- a/internal/net/busyqueue.go
+++ b/internal/net/busyqueue.go
@@ -22,6 +22,8 @@
 type busyWork interface {
 	// handleBusy handles a limited part of the input.
 	handleBusy()
+	// connection returns the socket of the connection.
+	connection() *socket
 }
 
 // busyQueue holds the busy connections that have input. Each is served in its turn, after the connections that are not busy,
@@ -29,7 +31,8 @@
 type busyQueue struct {
 	clock    state.Clock
 	counters *state.Counters
-	cores    float64 // processor time that the process gets in a second, in seconds
+	run      func(busyWork) // calls handleBusy
+	cores    float64        // processor time that the process gets in a second, in seconds
 	waiting  []busyWork
 	earned   time.Duration // processor time that may be spent; negative if too much was
 	earnedAt time.Duration // when earned was computed
@@ -76,7 +79,7 @@
 	for ; served < len(q.waiting) && q.earned > 0; served++ {
 		work := q.waiting[served]
 		q.waiting[served] = nil
-		work.handleBusy()
+		q.run(work)
 		begin := now
 		now = q.clock.Now()
 		q.earned -= min(now-begin, busyTurnTime) // what took longer was spent while the process was stopped
--- a/internal/net/client_input.go
+++ b/internal/net/client_input.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// connection implements busyWork.
+func (c *client) connection() *socket { return c.socket }
+
 // readInput reads a limited part of the available input. It reports whether the connection is still open.
 func (c *client) readInput() bool {
 	room := c.input.room()
@@ -97,6 +100,9 @@
 	if c.connState >= stateClosing {
 		c.input.discard(c.input.size()) // input after the final response is ignored
 		c.accountBuffer()
+		if c.connState == stateClosing {
+			c.updateReading()
+		}
 		return
 	}
 	if handled > 0 {
@@ -198,8 +204,8 @@
 // updateQueryTimer starts the timeout for the rest of a partial query, once per query, and clears it when no partial
 // query is left.
 func (c *client) updateQueryTimer(newQuery bool) {
-	if !c.hasQueried {
-		return // the timeout for the first query, set on accept, still runs
+	if !c.hasQueried || c.connState >= stateClosing {
+		return // the timeout for the first query, set on accept, or that for the client's end still runs
 	}
 	partialQuery := c.input.size() > 0 && c.waiting == notWaiting && !c.resuming && !c.inBusyQueue
 	switch {
--- a/internal/net/listener.go
+++ b/internal/net/listener.go
@@ -108,7 +108,7 @@
 		l.loggedAt = now
 		slog.Warn("failed to accept a connection", "error", err)
 	}
-	l.loop.stalls.counters.AcceptErrors++
+	l.loop.counters.AcceptErrors++
 	l.socket.pauseReading(true)
 	l.loop.deadlines.Set(&l.retryTimer, l.loop.clock.Now()+acceptRetryDelay, func() { l.socket.pauseReading(false) })
 }
@@ -117,13 +117,13 @@
 // closed.
 func (l *listener) admit(fd int) {
 	if hangupPending(fd) {
-		l.loop.stalls.counters.ClientsLeftAtOnce++
+		l.loop.counters.ClientsLeftAtOnce++
 		unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1}) // a reset costs the least
 		unix.Close(fd)
 		return
 	}
 	if l.open >= l.maxOpen {
-		l.loop.stalls.counters.ClientsShut++
+		l.loop.counters.ClientsShut++
 		unix.Close(fd)
 		l.onFull()
 		return
@@ -157,7 +157,7 @@
 // onWriteFailed implements socketHandler.
 func (l *listener) onWriteFailed(error) {}
 
-// onPanic implements socketHandler. Other connections may still be accepted.
+// onPanic implements socketHandler. It is not called; see Loop.contain.
 func (l *listener) onPanic() {}
 
 // sockaddr converts a TCP address to its socket address family and address.
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -34,6 +34,7 @@
 type Loop struct {
 	clock      state.Clock
 	deadlines  *state.Deadlines
+	counters   *state.Counters
 	stalls     stallMonitor
 	poller     *poller
 	sockets    map[uint64]*socket // open sockets by poller id
@@ -62,9 +63,10 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Loop{clock: clock, deadlines: deadlines, stalls: stallMonitor{clock: clock, counters: counters}, poller: poller,
+	l := &Loop{clock: clock, deadlines: deadlines, counters: counters, stalls: stallMonitor{clock: clock, counters: counters}, poller: poller,
 		sockets: map[uint64]*socket{}, readBuffer: make([]byte, readBufferBytes),
 		busy: busyQueue{clock: clock, counters: counters, cores: 1}}
+	l.busy.run = func(work busyWork) { l.contain(work.connection(), work.handleBusy) }
 	l.LimitInput(defaultInputBytes)
 	return l, nil
 }
@@ -210,17 +212,18 @@
 func (l *Loop) turnSpent() bool { return l.clock.Now()-l.stalls.begin > maxTurnTime }
 
 // contain runs the handling of an event of one connection. A panic in it ends that connection only, unless the dispatcher
-// was being called: its state is that of all requests and may be inconsistent then, so the panic goes on.
+// was being called, or a client was being accepted: the state of all requests or clients may be inconsistent then, so the
+// panic goes on.
 func (l *Loop) contain(s *socket, handle func()) {
 	defer func() {
 		cause := recover()
 		if cause == nil {
 			return
 		}
-		if l.sharedDepth > 0 || s.onDialed != nil {
+		if _, listens := s.handler.(*listener); listens || l.sharedDepth > 0 || s.onDialed != nil {
 			panic(cause)
 		}
-		l.stalls.counters.Panics++
+		l.counters.Panics++
 		slog.Error("panic in the handling of a connection", "cause", cause, "stack", string(debug.Stack()))
 		s.handler.onPanic()
 	}()
--- a/internal/net/panic_test.go
+++ b/internal/net/panic_test.go
@@ -15,7 +15,9 @@
 	onEnded func()
 }
 
-func (h *panickingHandler) onHangup() {}
+func (h *panickingHandler) onHangup()           {}
+func (h *panickingHandler) handleBusy()         { panic("in its turn as a busy connection") }
+func (h *panickingHandler) connection() *socket { return h.socket }
 func (h *panickingHandler) onReadable() {
 	if h.shared {
 		h.socket.loop.callShared(func() { panic("in the dispatcher") })
@@ -29,8 +31,9 @@
 	h.onEnded()
 }
 
-// runWithPanic runs a loop with one connection whose handler panics, until the connection is closed.
-func runWithPanic(t *testing.T, shared bool) *state.Counters {
+// runWithPanic runs a loop with one connection whose handler panics, until the connection is closed. If busy is set, it panics
+// in the queue of busy connections.
+func runWithPanic(t *testing.T, shared, busy bool) *state.Counters {
 	t.Helper()
 	var deadlines state.Deadlines
 	counters := &state.Counters{}
@@ -44,15 +47,21 @@
 	if handler.socket, err = newSocket(loop, pair[0], handler, nil); err != nil {
 		t.Fatal(err)
 	}
-	unix.Write(pair[1], []byte("x"))
+	if busy {
+		loop.busy.add(handler)
+	} else {
+		unix.Write(pair[1], []byte("x"))
+	}
 	loop.Run()
 	return counters
 }
 
 // A panic in the handling of one connection ended the process, with all other connections.
 func TestPanicEndsOnlyItsConnection(t *testing.T) {
-	if counters := runWithPanic(t, false); counters.Panics != 1 {
-		t.Errorf("%d panics were counted", counters.Panics)
+	for _, busy := range []bool{false, true} {
+		if counters := runWithPanic(t, false, busy); counters.Panics != 1 {
+			t.Errorf("busy %v: %d panics were counted", busy, counters.Panics)
+		}
 	}
 }
 
@@ -63,6 +72,6 @@
 			t.Errorf("recovered %v", cause)
 		}
 	}()
-	runWithPanic(t, true)
+	runWithPanic(t, true, false)
 	t.Error("the loop went on")
 }
