Don't wake the loop for the end of a database connection that waits for a buffer

The end of the stream was watched for although nothing handles it while reading is paused.

While reading is paused, the end of a database's stream is not watched for; it is read behind the response. A reset, which can't be masked, ends the connection, as the response is lost.

--- a/internal/net/database.go
+++ b/internal/net/database.go
@@ -87,6 +87,7 @@
 		return
 	}
 	db.socket = socket
+	db.socket.readsEnd = true
 	db.awaitingResponse = true
 	if err := db.write(pg.AppendStartup(nil, databaseUser, databaseName)); err != nil {
 		db.connectionLost()
@@ -135,8 +136,13 @@
 // notify passes an event to the handler.
 func (db *databaseConn) notify(event func()) { db.dialer.Loop.callShared(event) }
 
-// onHangup implements socketHandler. A response may precede the end of the stream, so onReadable handles both.
-func (db *databaseConn) onHangup() {}
+// onHangup implements socketHandler. A response may precede the end of the stream, so onReadable handles both. A reset
+// connection has lost what had not been read.
+func (db *databaseConn) onHangup() {
+	if db.socket != nil && db.socket.paused {
+		db.connectionLost()
+	}
+}
 
 // Probe implements state.Conn.
 func (db *databaseConn) Probe() error {
--- a/internal/net/slow_peer_test.go
+++ b/internal/net/slow_peer_test.go
@@ -267,6 +267,38 @@
 	}
 }
 
+// A database that ended, or reset, its connection while its response waited for a buffer woke the loop until its turn came.
+func TestEndOfAConnectionThatWaitsForABufferWakesTheLoopOnce(t *testing.T) {
+	for name, linger := range map[string]int{"end": -1, "reset": 0} {
+		s, _, loop := startProxy(t, startDatabase(t, func(conn stdnet.Conn, text string) bool {
+			largeRow(conn, text)
+			conn.(*stdnet.TCPConn).SetLinger(linger)
+			return false
+		}), 8, 1)
+		onLoop(loop, func() bool { loop.databaseBuffers.max = 0; return true })
+		p := dialProxy(t, s)
+		p.conn.Write(pg.AppendQuery(pg.AppendStartup(nil, "client", "core"), queryText("a")))
+		p.readMessages(len(startupResponseTypes))
+		time.Sleep(50 * time.Millisecond)
+		before := onLoop(loop, func() uint64 { return loop.turns })
+		time.Sleep(200 * time.Millisecond)
+		// The router's timers wake it once in a millisecond.
+		if turns := onLoop(loop, func() uint64 { return loop.turns }) - before; turns > 500 {
+			t.Errorf("%s: %d iterations of the loop in 0.2 s", name, turns)
+		}
+		onLoop(loop, func() bool {
+			loop.databaseBuffers.max = 2
+			if first := loop.databaseBuffers.waiting.Front(); first != nil {
+				first.Value.(*databaseConn).bufferAvailable()
+			}
+			return true
+		})
+		if types, _ := p.readMessages(2); name == "end" && types != "DC" {
+			t.Errorf("the client got %q", types)
+		}
+	}
+}
+
 // A connection to a database held its last response for as long as it rested, and all of them read their responses at once.
 func TestResponsesOfDatabasesAreReadWithFewBuffers(t *testing.T) {
 	s, _, loop := startProxy(t, startDatabase(t, largeRow), 40, 1)
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -45,6 +45,7 @@
 	onDialed  func(error) // the handler of the result of connect(2), until then
 	interest  uint32
 	paused    bool     // input is left in the kernel's buffer
+	readsEnd  bool     // the end of the stream matters only behind the input, also while reading is paused
 	output    [][]byte // what the kernel has not taken yet
 	gathering bool     // the last chunk of output is the socket's own, and may be appended to within its capacity
 	unsent    int      // total bytes of output
@@ -66,10 +67,13 @@
 
 // wantedInterest returns the events that the socket has to be watched for.
 func (s *socket) wantedInterest() uint32 {
-	interest := uint32(unix.EPOLLRDHUP)
+	interest := uint32(0)
 	if !s.paused {
 		interest |= eventReadable
 	}
+	if !s.paused || !s.readsEnd { // an event that isn't handled would be reported again and again
+		interest |= unix.EPOLLRDHUP
+	}
 	if s.unsent > 0 || s.onDialed != nil {
 		interest |= eventWritable
 	}
@@ -84,7 +88,8 @@
 	}
 }
 
-// pauseReading stops or resumes the calls of onReadable. A hang-up is still noticed.
+// pauseReading stops or resumes the calls of onReadable. A hang-up is still noticed, unless readsEnd is set and the peer has only
+// ended its stream.
 func (s *socket) pauseReading(paused bool) {
 	s.paused = paused
 	s.updateInterest()
