--- a/cmd/havenproxy/crowd_test.go
+++ b/cmd/havenproxy/crowd_test.go
@@ -108,11 +108,7 @@
 			runBeside(t)
 			fleet := startDatabases(t, 12, 20*time.Millisecond)
 			fleet.value = largestValue
-			service := startDiscovery(t, fleet)
-			initialList, _ := service.list(-1)
-			p := startProxy(t, proxyOptions{initialList: initialList, discovery: service.address, fleetSize: 1,
-				sockets: manyDescriptors, memoryMB: smallestMemoryMB})
-			p.awaitReady(t, 5*time.Second)
+			p, _ := startProxyOfFleet(t, fleet, proxyOptions{sockets: manyDescriptors, memoryMB: smallestMemoryMB})
 			var running sync.WaitGroup
 			end := time.Now().Add(partialFor)
 			for k := range partialClients {
--- a/cmd/havenproxy/departure_test.go
+++ b/cmd/havenproxy/departure_test.go
@@ -132,10 +132,7 @@
 	t.Helper()
 	fleet := startDatabases(t, 12, departureWork)
 	fleet.answerInstead = answer
-	service := startDiscovery(t, fleet)
-	initialList, _ := service.list(-1)
-	p := startProxy(t, proxyOptions{initialList: initialList, discovery: service.address, fleetSize: 1, sockets: fewDescriptors})
-	p.awaitReady(t, 5*time.Second)
+	p, _ := startProxyOfFleet(t, fleet, proxyOptions{sockets: fewDescriptors})
 	front := startRelay(t, p.address)
 	begun, late, latest := 0, 0, time.Duration(0)
 	for client := range departures {
@@ -183,10 +180,7 @@
 // An id ran twice when it came again after its client had left.
 func TestIDThatComesAgainRunsOnce(t *testing.T) {
 	fleet := startDatabases(t, 12, departureWork)
-	service := startDiscovery(t, fleet)
-	initialList, _ := service.list(-1)
-	p := startProxy(t, proxyOptions{initialList: initialList, discovery: service.address, fleetSize: 1, sockets: fewDescriptors})
-	p.awaitReady(t, 5*time.Second)
+	p, _ := startProxyOfFleet(t, fleet, proxyOptions{sockets: fewDescriptors})
 	var running sync.WaitGroup
 	for name, stay := range map[string]time.Duration{
 		"at once":              0,
--- a/cmd/havenproxy/flood_test.go
+++ b/cmd/havenproxy/flood_test.go
@@ -69,6 +69,7 @@
 
 // peerFloods are floods that don't come from clients. They are started before a play, and return what begins them.
 var peerFloods = map[string]func(fleet *databaseFleet, service *discoveryService) (begin func()){
+	"no flood": func(*databaseFleet, *discoveryService) func() { return func() {} },
 	"databases, many parameters": func(fleet *databaseFleet, _ *discoveryService) func() {
 		parameters := bytes.Repeat(appendMessage(nil, 'S', "a\x00b\x00"), 20000)
 		fleet.noise = func(conn net.Conn) { conn.Write(parameters) }
@@ -94,14 +95,20 @@
 			}()
 		}
 	},
-	"discovery, huge lists": func(_ *databaseFleet, service *discoveryService) func() {
+	"discovery, full lists of the largest fleet": fullLists(largeFleetDatabases),
+	"discovery, huge lists":                      fullLists(20000),
+}
+
+// fullLists returns a flood of full lists with so many databases.
+func fullLists(databases int) func(*databaseFleet, *discoveryService) func() {
+	return func(_ *databaseFleet, service *discoveryService) func() {
 		return func() {
-			service.setLifecycle(discovery.InService, unknownDatabases(20000)...)
+			service.setLifecycle(discovery.InService, unknownDatabases(databases)...)
 			service.mu.Lock()
 			service.alwaysFull = true
 			service.mu.Unlock()
 		}
-	},
+	}
 }
 
 // unknownDatabases returns databases of groups that nobody asks for, at an address where nobody listens.
@@ -215,15 +222,12 @@
 func playFlood(t *testing.T, play floodPlay, program string, lane floodLane) (result floodResult) {
 	t.Helper()
 	fleet := startDatabases(t, 12, 5*time.Millisecond)
-	service := startDiscovery(t, fleet)
-	initialList, _ := service.list(-1)
+	p, service := startProxyOfFleet(t, fleet, proxyOptions{sockets: fewDescriptors, memoryMB: floodMemoryMB, program: program,
+		cores: lane.proxy, cpuQuota: play.cpuShare})
 	beginPeers := func() {}
 	if flood := peerFloods[play.kind]; flood != nil {
 		beginPeers = flood(fleet, service)
 	}
-	p := startProxy(t, proxyOptions{initialList: initialList, discovery: service.address, fleetSize: 1,
-		sockets: fewDescriptors, memoryMB: floodMemoryMB, program: program, cores: lane.proxy, cpuQuota: play.cpuShare})
-	p.awaitReady(t, 5*time.Second)
 	others := &otherClients{proxy: p}
 	others.run(300*time.Millisecond, floodInterval) // so that connections and limits are as usual
 	before := others.takeResults()
--- a/cmd/havenproxy/full_speed_test.go
+++ b/cmd/havenproxy/full_speed_test.go
@@ -2,13 +2,9 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"strings"
 	"testing"
 	"time"
-
-	"havenproxy/internal/wire/pg"
 )
 
 const (
@@ -48,15 +44,15 @@
 // While one client sent small or unsound queries at full speed, also under ever new names, others got their answers late or
 // never, or memory grew without end.
 func TestClientAtFullSpeedDelaysNobodyAndFillsNoTable(t *testing.T) {
-	for name, query := range fullSpeedQueries {
+	for name := range fullSpeedQueries {
 		t.Run(name+", a fifth of a core", func(t *testing.T) {
 			runBeside(t)
-			checkFullSpeed(t, proxyOptions{cpuShare: 0.2}, 12, query, true)
+			checkFullSpeed(t, proxyOptions{cpuShare: 0.2}, 12, name, true)
 		})
 		for _, reads := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, answers read %v", name, reads), func(t *testing.T) {
 				runBeside(t)
-				checkFullSpeed(t, proxyOptions{}, 12, query, reads)
+				checkFullSpeed(t, proxyOptions{}, 12, name, reads)
 			})
 		}
 	}
@@ -64,28 +60,25 @@
 	for _, name := range []string{"ever new groups", "writes to new groups", "ever new sessions"} {
 		t.Run(name+", large fleet", func(t *testing.T) {
 			runBeside(t)
-			checkFullSpeed(t, proxyOptions{}, 40*groupSize, fullSpeedQueries[name], true)
+			checkFullSpeed(t, proxyOptions{}, 40*groupSize, name, true)
 		})
 	}
 }
 
 // checkFullSpeed fails the test if a request is lost, or memory grows steadily, while one client sends queries at full speed.
-func checkFullSpeed(t *testing.T, options proxyOptions, databases int, query func(int) string, reads bool) {
+func checkFullSpeed(t *testing.T, options proxyOptions, databases int, kind string, reads bool) {
 	t.Helper()
 	fleet := startDatabases(t, databases, 5*time.Millisecond)
-	service := startDiscovery(t, fleet)
-	initialList, _ := service.list(-1)
-	options.initialList, options.discovery, options.fleetSize = initialList, service.address, 1
 	options.sockets, options.memoryMB = fewDescriptors, fullSpeedMemoryMB
-	p := startProxy(t, options)
-	p.awaitReady(t, 5*time.Second)
+	p, _ := startProxyOfFleet(t, fleet, options)
 	duration := fullSpeedFor
 	if strings.Contains(t.Name(), "new") {
 		duration = fullSpeedNamesFor
 	}
 	end := time.Now().Add(duration)
+	sender := floodClient{flood: flood{Address: p.address, Kind: kind, Reads: reads}}
 	sent := make(chan int)
-	go func() { sent <- sendAtFullSpeed(p, end, query, reads) }()
+	go func() { sender.run(end); sent <- sender.sent }()
 	load := newLoadGenerator(p)
 	load.run(duration/2, 20*time.Millisecond, 2)
 	half := p.statusMB(t, "VmRSS")
@@ -100,29 +93,3 @@
 		t.Errorf("the proxy held %.1f MB, its limit is %d MB", peakMB, fullSpeedMemoryMB)
 	}
 }
-
-// sendAtFullSpeed sends queries on one connection until the end, or on a new one where the proxy closes it. It returns how
-// many it has sent.
-func sendAtFullSpeed(p *proxyProcess, end time.Time, query func(int) string, reads bool) (sent int) {
-	for time.Now().Before(end) {
-		conn, err := net.Dial("tcp", p.address)
-		if err != nil {
-			continue
-		}
-		conn.SetDeadline(end)
-		if reads {
-			go io.Copy(io.Discard, conn)
-		}
-		conn.Write(startupAnd(nil))
-		for err == nil {
-			var batch []byte
-			for range batchQueries {
-				batch = pg.AppendQuery(batch, query(sent))
-				sent++
-			}
-			_, err = conn.Write(batch)
-		}
-		conn.Close()
-	}
-	return sent
-}
--- a/cmd/havenproxy/memory_test.go
+++ b/cmd/havenproxy/memory_test.go
@@ -69,11 +69,7 @@
 // Hostile clients that sent at full speed filled the memory, and held up the requests of others for seconds.
 func TestHostileClientsDelayNobodyAndKeepToTheMemoryLimit(t *testing.T) {
 	fleet := startDatabases(t, 12, 5*time.Millisecond)
-	service := startDiscovery(t, fleet)
-	initialList, _ := service.list(-1)
-	p := startProxy(t, proxyOptions{initialList: initialList, discovery: service.address, fleetSize: 1,
-		sockets: fewDescriptors, memoryMB: hostileMemoryMB})
-	p.awaitReady(t, 5*time.Second)
+	p, _ := startProxyOfFleet(t, fleet, proxyOptions{sockets: fewDescriptors, memoryMB: hostileMemoryMB})
 	var clients sync.WaitGroup
 	end := time.Now().Add(hostileFor)
 	for _, attack := range hostileInputs {
@@ -116,11 +112,7 @@
 	t.Helper()
 	fleet := startDatabases(t, 12, crowdHang)
 	fleet.value = largestValue
-	service := startDiscovery(t, fleet)
-	initialList, _ := service.list(-1)
-	p := startProxy(t, proxyOptions{initialList: initialList, discovery: service.address, fleetSize: 1,
-		sockets: sockets, memoryMB: memoryMB})
-	p.awaitReady(t, 5*time.Second)
+	p, _ := startProxyOfFleet(t, fleet, proxyOptions{sockets: sockets, memoryMB: memoryMB})
 	var mu sync.Mutex
 	codes := map[string]int{}
 	var running sync.WaitGroup
--- a/cmd/havenproxy/soak_test.go
+++ b/cmd/havenproxy/soak_test.go
@@ -102,11 +102,8 @@
 	text, _ := json.Marshal(plan)
 	t.Logf("plan: %s", text)
 	fleet := startDatabases(t, 12, plan.WorkTime)
-	service := startDiscovery(t, fleet)
-	initialList, _ := service.list(-1)
-	p := startProxy(t, proxyOptions{initialList: initialList, discovery: service.address, fleetSize: 1, sockets: fewDescriptors,
-		memoryMB: plan.MemoryMB, program: os.Getenv(floodProgramEnv), cores: lane.proxy, cpuQuota: plan.CPUShare})
-	p.awaitReady(t, 5*time.Second)
+	p, _ := startProxyOfFleet(t, fleet, proxyOptions{sockets: fewDescriptors, memoryMB: plan.MemoryMB,
+		program: os.Getenv(floodProgramEnv), cores: lane.proxy, cpuQuota: plan.CPUShare})
 	random := rand.New(rand.NewPCG(seed, 1))
 	others := &otherClients{proxy: p, leavesAfter: func() time.Duration {
 		if random.IntN(20) > 0 {
--- a/cmd/havenproxy/standins_test.go
+++ b/cmd/havenproxy/standins_test.go
@@ -250,6 +250,18 @@
 	return service
 }
 
+// startProxyOfFleet starts the discovery service of a fleet, and a proxy that knows its list, alone unless the options say how
+// many proxies there are. It waits until the proxy is ready.
+func startProxyOfFleet(t *testing.T, fleet *databaseFleet, options proxyOptions) (*proxyProcess, *discoveryService) {
+	t.Helper()
+	service := startDiscovery(t, fleet)
+	options.initialList, _ = service.list(-1)
+	options.discovery, options.fleetSize = service.address, cmp.Or(options.fleetSize, 1)
+	p := startProxy(t, options)
+	p.awaitReady(t, 5*time.Second)
+	return p, service
+}
+
 // listEntry returns the server's entry in the list.
 func (s *databaseServer) listEntry(lifecycle string) discovery.Member {
 	return discovery.Member{ID: s.name, Address: s.address, Zone: "cairo-east", Group: s.group,
