--- a/internal/wire/settings/settings_test.go
+++ b/internal/wire/settings/settings_test.go
@@ -47,7 +47,7 @@
 }
 
 const config = `{"name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
- "limits": {"memory_mb": 192, "sockets": 1024}, "settings": ` + sample + `}`
+ "limits": {"cores": 0.25, "memory_mb": 192, "sockets": 1024}, "settings": ` + sample + `}`
 
 // The README starts the proxy with this example configuration.
 func TestExampleConfigIsValid(t *testing.T) {
@@ -63,7 +63,7 @@
 
 func TestParseConfig(t *testing.T) {
 	c, err := ParseConfig([]byte(config))
-	if err != nil || c.Settings.Config.Seed != 0x8c1f30d27a5be964 || c.Sockets != 1024 ||
+	if err != nil || c.Settings.Config.Seed != 0x8c1f30d27a5be964 || c.Sockets != 1024 || c.Cores != 0.25 ||
 		c.InitialList.Generation != discovery.NoGeneration {
 		t.Errorf("%+v, error %v", c, err)
 	}
