--- a/internal/net/busyqueue.go
+++ b/internal/net/busyqueue.go
@@ -38,7 +38,7 @@
 	earnedAt time.Duration // when earned was computed
 
 	othersShare  float64       // of a core that was spent on other connections lately
-	othersSpent  time.Duration // on them since windowBegin
+	othersSpent  time.Duration // on them since windowBegins
 	windowBegins time.Duration
 }
 
