Account and refuse partial input at once, also that of busy clients

Cause: the input of a client that became busy by reading it was held until the client's turn, without the check that refuses a partial query when all clients together hold too much. Hundreds of clients held up to 32 KiB each meanwhile.

Change: only a complete message waits for the client's turn, and only while the input of all clients is within its limit. A partial one is accounted, and refused if there is no memory for it, as soon as it is read, which costs little.

--- a/internal/net/client_input.go
+++ b/internal/net/client_input.go
@@ -18,7 +18,7 @@
 	case c.busy(now):
 		c.waitAsBusy()
 	case c.readInput():
-		if c.accountBuffer(); c.busy(c.server.clock.Now()) {
+		if c.accountBuffer(); c.mayHoldInput() && c.busy(c.server.clock.Now()) {
 			c.processLater()
 			return
 		}
@@ -26,6 +26,10 @@
 	}
 }
 
+// mayHoldInput reports whether what was read may be held until the client's turn: it is a complete message, and the input of all
+// clients does not take too much memory. A partial one is only accounted, or refused for lack of memory.
+func (c *client) mayHoldInput() bool { return !c.server.inputFull() && c.messageComplete() }
+
 // readInput reads a limited part of the available input. It reports whether the connection is still open.
 func (c *client) readInput() bool {
 	room := c.input.room()
